Add the thin query path through separate processes

Cause: there was no code. The first step is one query that travels from a caller through an entry instance and the owners to the searchers and back, with every boundary behind a protocol and all decisions free of I/O.

Ruled out: asking a peer for its table when the peer is not in the own table. It has no address yet, so an instance that started first never left table 2 of 5 ("instance entry-0 is not ready" after 30 s). Such a version is now read from the object API.

Conclusion: the path holds in separate processes; validity, fencing, warm-up, hedging and claims are not there yet.

--- /dev/null
+++ b/src/persimmonspur/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Production adapters of the ports."""
--- /dev/null
+++ b/src/persimmonspur/adapters/http.py
@@ -0,0 +1,106 @@
+"""HTTP clients and servers with the socket options that low latency needs."""
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import gevent.socket
+import msgspec
+from gevent.pywsgi import WSGIServer
+from geventhttpclient import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
+
+
+class NoDelayPool(ConnectionPool):
+    """Connections without Nagle's algorithm, counted.
+
+    With Nagle's algorithm and delayed acknowledgements a small request on a
+    kept connection takes about 40 ms.
+    """
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.opened = 0
+
+    def after_connect(self, sock: gevent.socket.socket) -> None:
+        """Set the socket options of a new connection."""
+        self.opened += 1
+        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+
+
+def connect_client(address: str, concurrency: int, timeout_ms: float) -> HTTPClient:
+    """Build a client that keeps its connections.
+
+    The client never repeats a POST by itself.
+
+    :param address: ``ip:port``.
+    :param concurrency: most connections.
+    :param timeout_ms: limit for each socket operation in milliseconds.
+    """
+    host, _, port = address.rpartition(":")
+    client = HTTPClient(host, int(port), concurrency=concurrency)
+    client._connection_pool = NoDelayPool(
+        host,
+        int(port),
+        host,
+        int(port),
+        size=concurrency,
+        disable_ipv6=":" not in host,
+        connection_timeout=timeout_ms / 1000,
+        network_timeout=timeout_ms / 1000,
+    )
+    return client
+
+
+class NoDelayServer(WSGIServer):
+    """gevent's WSGI server without Nagle's algorithm."""
+
+    def handle(self, sock: gevent.socket.socket, address: Any) -> None:
+        """Serve one connection."""
+        sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
+def read_body(environ: dict[str, Any]) -> bytes:
+    """Read the whole request body.
+
+    A handler that leaves the body unread makes the server close the
+    connection or wait, so every handler reads it.
+    """
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    return environ["wsgi.input"].read(length) if length else b""
+
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    429: "Too Many Requests",
+    499: "Client Closed Request",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def respond_json(
+    start_response: StartResponse,
+    status: int,
+    document: Any,
+    headers: list[tuple[str, str]] | None = None,
+) -> list[bytes]:
+    """Send a JSON document as the response."""
+    data = document if isinstance(document, bytes) else msgspec.json.encode(document)
+    start_response(
+        f"{status} {REASONS.get(status, 'Status')}",
+        [
+            ("content-type", "application/json"),
+            ("content-length", str(len(data))),
+            *(headers or []),
+        ],
+    )
+    return [data]
--- /dev/null
+++ b/src/persimmonspur/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slope measurements behind docs/CAPACITY.md."""
--- /dev/null
+++ b/src/persimmonspur/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool."""
--- /dev/null
+++ b/src/persimmonspur/cli/application.py
@@ -0,0 +1,19 @@
+"""The command-line tool."""
+
+import sys
+
+from cleo.application import Application
+
+from persimmonspur import __version__
+from persimmonspur.cli.commands.demo import DemoCommand
+
+
+def main() -> int:
+    """Run the tool."""
+    application = Application("persimmonspur", __version__)
+    application.add(DemoCommand())
+    return int(application.run())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/persimmonspur/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command-line tool, one module each."""
--- /dev/null
+++ b/src/persimmonspur/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers."""
--- /dev/null
+++ b/src/persimmonspur/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without I/O: events and a time in, actions out."""
--- /dev/null
+++ b/src/persimmonspur/core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once records of non-repeatable requests."""
--- /dev/null
+++ b/src/persimmonspur/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Parsing, comparing, holding and publishing configuration."""
--- /dev/null
+++ b/src/persimmonspur/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and hold-down of cell members."""
--- /dev/null
+++ b/src/persimmonspur/core/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instance may use which endpoint, and until when."""
--- /dev/null
+++ b/src/persimmonspur/core/ownership/actions.py
@@ -0,0 +1,60 @@
+"""Actions that a cell asks the daemon to carry out."""
+
+from attrs import frozen
+
+from persimmonspur.core.ownership.table import CellTable
+from persimmonspur.model.messages import Heartbeat
+
+
+@frozen
+class ReadTable:
+    """Read the table from the object API and report it with :meth:`Cell.observe_read`."""
+
+
+@frozen
+class WriteTable:
+    """Write the table by conditional update and report with :meth:`Cell.observe_write`.
+
+    :param expected_version: stored version that the update expects; 0 for a new object.
+    """
+
+    table: CellTable
+    expected_version: int
+
+
+@frozen
+class SendHeartbeat:
+    """Send a heartbeat to a member."""
+
+    receiver: str
+    heartbeat: Heartbeat
+
+
+@frozen
+class FetchTableFrom:
+    """Ask a peer for its table and report it with :meth:`Cell.observe_table`."""
+
+    peer: str
+
+
+@frozen
+class AdoptTable:
+    """The cell adopted a newer table: connect to its members and update the gates."""
+
+    table: CellTable
+
+
+@frozen
+class ReleaseBudgets:
+    """Stop using budgets and tell their new owner.
+
+    :param receiver: name of the new owner.
+    """
+
+    receiver: str
+    version: int
+    endpoints: tuple[str, ...]
+    partitions: tuple[int, ...]
+
+
+CellAction = ReadTable | WriteTable | SendHeartbeat | FetchTableFrom | AdoptTable | ReleaseBudgets
--- /dev/null
+++ b/src/persimmonspur/core/ownership/rendezvous.py
@@ -0,0 +1,40 @@
+"""Weighted rendezvous hashing."""
+
+import hashlib
+import math
+
+_HASH_RANGE = float(1 << 64)
+
+
+def hash_key(*parts: str) -> int:
+    """Hash strings to 64 bits, the same in every process.
+
+    :param parts: joined by a separator that names cannot contain.
+    """
+    digest = hashlib.blake2b("\x1f".join(parts).encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def score_candidate(candidate: str, key: str, weight: float) -> float:
+    """Return the candidate's score for a key; the highest score wins.
+
+    :param weight: relative share of keys; 0 or less never wins.
+    """
+    if weight <= 0:
+        return -math.inf
+    uniform = (hash_key(candidate, key) + 0.5) / _HASH_RANGE
+    return -weight / math.log(uniform)
+
+
+def rank_candidates(weights: dict[str, float], key: str) -> list[str]:
+    """Order candidates for a key, best first, without those of weight 0.
+
+    :param weights: weight by candidate name.
+    """
+    scored = []
+    for name, weight in weights.items():
+        if weight <= 0:
+            continue
+        scored.append((-score_candidate(name, key, weight), name))
+    scored.sort()
+    return [name for _, name in scored]
--- /dev/null
+++ b/src/persimmonspur/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, coordination, snapshots and coverage of queries."""
--- /dev/null
+++ b/src/persimmonspur/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Replica selection, latency estimates, hedging and outlier ejection."""
--- /dev/null
+++ b/src/persimmonspur/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: a thin shell around the core."""
--- /dev/null
+++ b/src/persimmonspur/daemon/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that keep the daemon's state up to date."""
--- /dev/null
+++ b/src/persimmonspur/daemon/events.py
@@ -0,0 +1,71 @@
+"""Numbered log events."""
+
+from attrs import frozen
+
+
+@frozen
+class EventType:
+    """One kind of log event.
+
+    :param number: unique; shown as ``PS`` and four digits.
+    :param level: loguru level.
+    :param text: what happened, with the names of its fields in braces.
+    """
+
+    number: int
+    name: str
+    level: str
+    text: str
+
+    @property
+    def code(self) -> str:
+        """The form that logs and the catalogue show."""
+        return f"PS{self.number}"
+
+
+CATALOGUE: dict[int, EventType] = {}
+
+
+def define_event(number: int, name: str, level: str, text: str) -> EventType:
+    """Add an event to the catalogue.
+
+    :raises ValueError: if the number is taken.
+    """
+    if number in CATALOGUE:
+        raise ValueError(f"event number {number} is taken by {CATALOGUE[number].name}")
+    event = EventType(number, name, level, text)
+    CATALOGUE[number] = event
+    return event
+
+
+STARTED = define_event(1001, "started", "INFO", "instance {instance} serves on {address}")
+STOPPING = define_event(1002, "stopping", "INFO", "instance {instance} stops")
+STOPPED = define_event(1003, "stopped", "INFO", "instance {instance} stopped")
+HUB_STALLED = define_event(1004, "hub_stalled", "WARNING", "the hub stalled for {stall_ms} ms")
+TABLE_ADOPTED = define_event(2001, "table_adopted", "INFO", "adopted cell table {version}")
+TABLE_WRITTEN = define_event(2002, "table_written", "INFO", "wrote cell table {version}")
+TABLE_CONFLICT = define_event(
+    2003, "table_conflict", "INFO", "lost the race to write cell table {version}"
+)
+STORE_FAILED = define_event(2004, "store_failed", "WARNING", "object API call failed: {reason}")
+CONFIGURATION_ADOPTED = define_event(
+    3001, "configuration_adopted", "INFO", "configuration {version} is in effect"
+)
+CONFIGURATION_UNREADABLE = define_event(
+    3002, "configuration_unreadable", "ERROR", "the stored configuration is unreadable: {reason}"
+)
+QUERY_FINISHED = define_event(
+    4001, "query_finished", "DEBUG", "query finished with {result} after {duration_ms} ms"
+)
+SUB_REQUEST_SENT = define_event(
+    4002, "sub_request_sent", "TRACE", "sub-request {sub_request} to {owner}"
+)
+DISPATCHED = define_event(
+    5001, "dispatched", "TRACE", "sub-request {sub_request} sent to endpoint {endpoint}"
+)
+DISPATCH_REFUSED = define_event(
+    5002,
+    "dispatch_refused",
+    "WARNING",
+    "the right to use endpoint {endpoint} expired before a send",
+)
--- /dev/null
+++ b/src/persimmonspur/daemon/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Filters that a caller's request passes in order."""
--- /dev/null
+++ b/src/persimmonspur/daemon/filters/standard.py
@@ -0,0 +1,93 @@
+"""The filters of a query."""
+
+from attrs import evolve
+
+from persimmonspur.daemon import events
+from persimmonspur.daemon.filters.chain import FILTERS, Next, RequestContext, build_failure
+from persimmonspur.errors import ErrorKind, Failure, Ran
+from persimmonspur.model.query import QueryAnswer
+
+
+@FILTERS.register("measure")
+def measure(context: RequestContext, call_next: Next) -> QueryAnswer:
+    """Record the time and result of every query."""
+    answer = call_next(context)
+    instance = context.instance
+    duration_ms = instance.clock.now_ms() - context.received_ms
+    result = str(answer.failure.kind) if answer.failure is not None else "ok"
+    query = context.query
+    instance.metrics.query_ms.labels(query.service, query.priority_class, result).observe(
+        duration_ms
+    )
+    if not answer.coverage.complete:
+        instance.metrics.incomplete.labels(query.service).inc()
+    instance.timeline.record(
+        events.QUERY_FINISHED, query.request_id, result=result, duration_ms=round(duration_ms, 2)
+    )
+    return answer
+
+
+@FILTERS.register("ready")
+def require_ready(context: RequestContext, call_next: Next) -> QueryAnswer:
+    """Reject queries before the first configuration and table."""
+    instance = context.instance
+    if instance.holder.version > 0 and instance.cell.table_version > 0:
+        return call_next(context)
+    failure = Failure.of(ErrorKind.NOT_READY, "no configuration yet", retry_after_ms=500.0)
+    return build_failure(context.query, failure)
+
+
+@FILTERS.register("leaving")
+def reject_when_leaving(context: RequestContext, call_next: Next) -> QueryAnswer:
+    """Reject queries once the time that callers keep answers has passed."""
+    if not context.instance.leaving:
+        return call_next(context)
+    failure = Failure.of(ErrorKind.LEAVING, "this instance is leaving", retry_after_ms=0.0)
+    return build_failure(context.query, failure)
+
+
+@FILTERS.register("service")
+def require_service(context: RequestContext, call_next: Next) -> QueryAnswer:
+    """Reject queries for services that are not declared."""
+    if context.query.service in context.instance.view.services:
+        return call_next(context)
+    known = ", ".join(sorted(context.instance.view.services))
+    failure = Failure.of(
+        ErrorKind.UNKNOWN_SERVICE, f"service: {context.query.service!r}; allowed: {known}"
+    )
+    return build_failure(context.query, failure)
+
+
+@FILTERS.register("priority")
+def set_priority(context: RequestContext, call_next: Next) -> QueryAnswer:
+    """Look up the priority of the query's class."""
+    configuration = context.instance.holder.configuration
+    classes = configuration.classes if configuration is not None else ()
+    for priority_class in classes:
+        if priority_class.name != context.query.priority_class:
+            continue
+        context.priority = priority_class.priority
+        return call_next(context)
+    known = ", ".join(known_class.name for known_class in classes)
+    failure = Failure.of(
+        ErrorKind.INVALID_REQUEST, f"class: {context.query.priority_class!r}; allowed: {known}"
+    )
+    return build_failure(context.query, failure)
+
+
+@FILTERS.register("deadline")
+def apply_deadline(context: RequestContext, call_next: Next) -> QueryAnswer:
+    """Take the time that has passed off the query's timeout."""
+    elapsed_ms = context.instance.clock.now_ms() - context.received_ms
+    remaining_ms = context.query.timeout_ms - elapsed_ms
+    if remaining_ms <= 0:
+        failure = Failure.of(ErrorKind.DEADLINE_EXCEEDED, "no time left to start", Ran.NO)
+        return build_failure(context.query, failure)
+    context.query = evolve(context.query, timeout_ms=remaining_ms)
+    return call_next(context)
+
+
+@FILTERS.register("coordinate")
+def coordinate(context: RequestContext, call_next: Next) -> QueryAnswer:
+    """Run the query."""
+    return context.instance.queries.run(context.query, context.priority)
--- /dev/null
+++ b/src/persimmonspur/daemon/http.py
@@ -0,0 +1,187 @@
+"""HTTP surface for callers and operators."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+from prometheus_client import generate_latest
+
+from persimmonspur.adapters.http import StartResponse, read_body, respond_json
+from persimmonspur.daemon.filters.chain import RequestContext, run_chain
+from persimmonspur.daemon.instance import Instance
+from persimmonspur.errors import ANSWERS, ErrorKind, Failure
+from persimmonspur.model.configuration import KEY_SPACE_UNITS
+from persimmonspur.model.query import Query, QueryAnswer
+from persimmonspur.registry import Registry
+
+KEEP_MS = 10_000.0
+MAX_TIMEOUT_MS = 60_000.0
+MAX_BODY_BYTES = 1_000_000
+
+Route = Callable[[Instance, dict[str, Any], StartResponse], list[bytes]]
+ROUTES: Registry[Route] = Registry("route")
+
+
+class QueryDocument(msgspec.Struct, rename={"priority_class": "class"}, forbid_unknown_fields=True):
+    """Body of ``POST /v1/query``."""
+
+    service: str
+    priority_class: str
+    timeout_ms: float
+    request_id: str
+    epoch: int = 0
+    repeatable: bool = True
+    allow_partial: bool = False
+    key: int | None = None
+    body: Any = None
+    limit: int | None = None
+
+
+class HttpSurface:
+    """WSGI application of one instance."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        """Answer one HTTP request."""
+        name = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+        if name not in ROUTES:
+            read_body(environ)
+            known = ", ".join(ROUTES)
+            return respond_json(
+                start_response, 404, {"message": f"path: {name!r}; allowed: {known}"}
+            )
+        return ROUTES.get(name)(self._instance, environ, start_response)
+
+
+@ROUTES.register("POST /v1/query")
+def answer_query(
+    instance: Instance, environ: dict[str, Any], start_response: StartResponse
+) -> list[bytes]:
+    """Run a query."""
+    received_ms = instance.clock.now_ms()
+    body = read_body(environ)
+    try:
+        document = msgspec.json.decode(body, type=QueryDocument)
+    except msgspec.DecodeError as error:
+        return _respond_invalid(start_response, str(error))
+    fault = _find_fault(document)
+    if fault:
+        return _respond_invalid(start_response, fault)
+    query = Query(
+        document.service,
+        document.priority_class,
+        document.timeout_ms,
+        document.request_id,
+        document.epoch,
+        document.repeatable,
+        document.allow_partial,
+        document.key,
+        document.body,
+        document.limit,
+    )
+    answer = run_chain(RequestContext(instance, query, received_ms))
+    status, answer_document = render_answer(answer)
+    return respond_json(start_response, status, answer_document)
+
+
+@ROUTES.register("GET /v1/resolve")
+def resolve(
+    instance: Instance, environ: dict[str, Any], start_response: StartResponse
+) -> list[bytes]:
+    """Name the addresses that a caller should use."""
+    members = instance.cell.list_live_members(instance.clock.now_ms())
+    addresses = [member.caller_address for member in members]
+    Random(instance.clock.now_ms()).shuffle(addresses)
+    document = {
+        "addresses": addresses,
+        "keep_ms": KEEP_MS,
+        "epoch": instance.cell.table_version,
+    }
+    return respond_json(start_response, 200, document)
+
+
+@ROUTES.register("GET /healthz")
+def check_health(
+    instance: Instance, environ: dict[str, Any], start_response: StartResponse
+) -> list[bytes]:
+    """Answer as long as the process runs."""
+    return respond_json(start_response, 200, {"instance": instance.settings.instance})
+
+
+@ROUTES.register("GET /readyz")
+def check_readiness(
+    instance: Instance, environ: dict[str, Any], start_response: StartResponse
+) -> list[bytes]:
+    """Answer 200 once the instance can serve queries."""
+    document = {
+        "ready": instance.ready,
+        "configuration_version": instance.holder.version,
+        "table_version": instance.cell.table_version,
+        "usable_endpoints": instance.view.count_usable(),
+    }
+    return respond_json(start_response, 200 if instance.ready else 503, document)
+
+
+@ROUTES.register("GET /v1/timeline")
+def list_timeline(
+    instance: Instance, environ: dict[str, Any], start_response: StartResponse
+) -> list[bytes]:
+    """Return the events of this process."""
+    query = parse_qs(environ.get("QUERY_STRING", ""))
+    request_id = query.get("request_id", [""])[0]
+    after = int(query.get("after", ["0"])[0])
+    entries = instance.timeline.list_entries(request_id, after)
+    return respond_json(start_response, 200, {"entries": entries})
+
+
+@ROUTES.register("GET /metrics")
+def show_metrics(
+    instance: Instance, environ: dict[str, Any], start_response: StartResponse
+) -> list[bytes]:
+    """Return the metrics in the Prometheus text format."""
+    data = generate_latest(instance.metrics.registry)
+    start_response("200 OK", [("content-type", "text/plain; version=0.0.4; charset=utf-8")])
+    return [data]
+
+
+def render_answer(answer: QueryAnswer) -> tuple[int, dict[str, Any]]:
+    """Turn an answer into a status and a document."""
+    snapshot = answer.snapshot
+    document: dict[str, Any] = {
+        "request_id": answer.request_id,
+        "snapshot": str(snapshot) if snapshot is not None else None,
+        "coverage": {"covered": answer.coverage.covered, "total": answer.coverage.total},
+        "missing_shards": list(answer.missing_shards),
+        "records": answer.records,
+        "sub_requests": answer.sub_requests,
+    }
+    failure = answer.failure
+    if failure is None:
+        return 200, document
+    document["error"] = failure.kind
+    document["message"] = failure.message
+    document["ran"] = failure.ran
+    document["retry_after_ms"] = failure.retry_after_ms
+    return ANSWERS[failure.kind].status, document
+
+
+def _find_fault(document: QueryDocument) -> str:
+    if not 0 < document.timeout_ms <= MAX_TIMEOUT_MS:
+        return f"timeout_ms: {document.timeout_ms}; allowed: above 0 and at most {MAX_TIMEOUT_MS}"
+    if not 0 < len(document.request_id) <= 128:
+        return f"request_id: {document.request_id!r}; allowed: 1 to 128 characters"
+    if document.key is not None and not 0 <= document.key < KEY_SPACE_UNITS:
+        return f"key: {document.key}; allowed: 0 to {KEY_SPACE_UNITS - 1}"
+    if document.limit is not None and document.limit < 1:
+        return f"limit: {document.limit}; allowed: 1 or more"
+    return ""
+
+
+def _respond_invalid(start_response: StartResponse, message: str) -> list[bytes]:
+    failure = Failure.of(ErrorKind.INVALID_REQUEST, message)
+    document = {"error": failure.kind, "message": failure.message, "ran": failure.ran}
+    return respond_json(start_response, ANSWERS[failure.kind].status, document)
--- /dev/null
+++ b/src/persimmonspur/daemon/instance.py
@@ -0,0 +1,156 @@
+"""One running instance: what its controllers and filters share."""
+
+from random import Random
+from typing import TYPE_CHECKING, cast
+
+from persimmonspur.core.configuration.holder import ConfigurationHolder
+from persimmonspur.core.ownership.cell import Cell
+from persimmonspur.core.ownership.table import CellTable
+from persimmonspur.core.requests.coordination import CoordinationContext
+from persimmonspur.core.routing.view import RoutingView
+from persimmonspur.daemon.controllers.registry import Controller, Handler, PeerMessage
+from persimmonspur.daemon.metrics import Metrics
+from persimmonspur.daemon.settings import Settings
+from persimmonspur.daemon.timeline import Timeline
+from persimmonspur.model.configuration import Configuration
+from persimmonspur.model.member import Member
+from persimmonspur.model.messages import Body, Envelope
+from persimmonspur.peers.delay import DelayEstimator
+from persimmonspur.ports import EndpointCalls, InstanceList, ObjectApi, PeerTransport
+
+if TYPE_CHECKING:
+    from persimmonspur.clock import Clock
+    from persimmonspur.daemon.controllers.cell import CellController
+    from persimmonspur.daemon.controllers.configuration import ConfigurationController
+    from persimmonspur.daemon.controllers.endpoints import EndpointController
+    from persimmonspur.daemon.controllers.queries import QueryController
+
+
+class Instance:
+    """Holds the parts of one instance and routes messages between them."""
+
+    cells: "CellController"
+    configurations: "ConfigurationController"
+    endpoints: "EndpointController"
+    queries: "QueryController"
+    transport: PeerTransport
+    controllers: dict[str, Controller]
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: "Clock",
+        incarnation: int,
+        object_api: ObjectApi,
+        instance_list: InstanceList,
+        endpoint_calls: EndpointCalls,
+    ) -> None:
+        """Build the shared state; controllers and transport are attached afterwards.
+
+        :param incarnation: higher than that of every former process of this instance.
+        """
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = incarnation
+        self.object_api = object_api
+        self.instance_list = instance_list
+        self.endpoint_calls = endpoint_calls
+        self.timeline = Timeline(settings.instance, clock)
+        self.metrics = Metrics()
+        self.holder = ConfigurationHolder()
+        self.view = RoutingView()
+        member = Member(
+            settings.instance,
+            incarnation,
+            f"tcp://{settings.peer_address}",
+            settings.caller_address,
+            settings.failure_domain,
+        )
+        self.cell = Cell(settings.cell, member)
+        self.coordination_context = CoordinationContext(
+            self.view, settings.failure_domain, Random(settings.seed)
+        )
+        self.leaving = False
+        self._handlers: dict[type, Handler] = {}
+        self._delays: dict[str, DelayEstimator] = {}
+
+    def set_controllers(self, controllers: dict[str, Controller]) -> None:
+        """Make the controllers reachable for each other.
+
+        :param controllers: by registered name.
+        """
+        self.controllers = controllers
+        self.cells = cast("CellController", controllers["cell"])
+        self.configurations = cast("ConfigurationController", controllers["configuration"])
+        self.endpoints = cast("EndpointController", controllers["endpoints"])
+        self.queries = cast("QueryController", controllers["queries"])
+
+    @property
+    def ready(self) -> bool:
+        """Whether the instance can serve queries."""
+        return self.holder.version > 0 and self.cell.table_version > 0 and not self.leaving
+
+    def attach(self, controller: Controller) -> None:
+        """Register a controller's message handlers."""
+        self._handlers.update(controller.list_handlers())
+
+    def receive(self, envelope: Envelope) -> None:
+        """Handle a peer's message."""
+        estimator = self._delays.setdefault(envelope.sender, DelayEstimator())
+        age_ms = estimator.measure_age(envelope.incarnation, envelope.sent_ms, self.clock.now_ms())
+        handler = self._handlers.get(type(envelope.body))
+        if handler is not None:
+            handler(
+                PeerMessage(
+                    envelope.sender,
+                    envelope.incarnation,
+                    envelope.table_version,
+                    envelope.body,
+                    age_ms,
+                )
+            )
+        now_ms = self.clock.now_ms()
+        self.cells.execute(
+            self.cell.observe_version(envelope.sender, envelope.table_version, now_ms)
+        )
+        self.configurations.observe_version(envelope.sender, envelope.configuration_version)
+
+    def send(self, receiver: str, body: Body) -> bool:
+        """Send a message to a peer; it may be lost."""
+        envelope = Envelope(
+            self.settings.instance,
+            self.incarnation,
+            self.clock.now_ms(),
+            self.cell.table_version,
+            self.holder.version,
+            body,
+        )
+        return self.transport.send(receiver, envelope)
+
+    def broadcast(self, body: Body) -> None:
+        """Send a message to every other member of the cell."""
+        if self.cell.table is None:
+            return
+        for name in self.cell.table.members:
+            if name != self.settings.instance:
+                self.send(name, body)
+
+    def connect_members(self, table: CellTable) -> None:
+        """Connect to the members of a table and update who owns what."""
+        for name, member in table.members.items():
+            if name != self.settings.instance:
+                self.transport.connect(name, member.peer_address)
+        self._update_owners()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration into effect."""
+        self.view.configure(configuration)
+        self.endpoint_calls.configure(configuration)
+        self._update_owners()
+        self.cells.execute(self.cell.configure(configuration, self.clock.now_ms()))
+        self.endpoints.refresh()
+
+    def _update_owners(self) -> None:
+        for name, view in self.view.endpoints.items():
+            owner = self.cell.find_owner(name)
+            view.owner = owner.name if owner is not None else ""
--- /dev/null
+++ b/src/persimmonspur/daemon/metrics.py
@@ -0,0 +1,55 @@
+"""Metrics of the daemon."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_MS = (1, 2, 5, 10, 20, 35, 50, 75, 100, 140, 200, 350, 500, 1_000, 2_500, 5_000)
+
+
+class Metrics:
+    """All metrics of one instance."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.query_ms = Histogram(
+            "persimmonspur_query_ms",
+            "Time of queries in milliseconds",
+            ["service", "priority_class", "result"],
+            buckets=LATENCY_BUCKETS_MS,
+            registry=self.registry,
+        )
+        self.incomplete = Counter(
+            "persimmonspur_incomplete_total",
+            "Answers that do not cover the whole key space",
+            ["service"],
+            registry=self.registry,
+        )
+        self.sub_requests = Counter(
+            "persimmonspur_sub_requests_total",
+            "Sub-requests by kind",
+            ["service", "kind"],
+            registry=self.registry,
+        )
+        self.peer_bytes = Gauge(
+            "persimmonspur_peer_bytes",
+            "Bytes of peer messages since the start",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.store_calls = Gauge(
+            "persimmonspur_store_calls",
+            "Calls of the object API since the start",
+            registry=self.registry,
+        )
+        self.hub_stall_ms = Gauge(
+            "persimmonspur_hub_stall_ms",
+            "Longest stall of the hub in the last 10 s, in milliseconds",
+            registry=self.registry,
+        )
+        self.table_version = Gauge(
+            "persimmonspur_table_version", "Version of the cell table", registry=self.registry
+        )
+        self.configuration_version = Gauge(
+            "persimmonspur_configuration_version",
+            "Version of the configuration in effect",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/persimmonspur/daemon/run.py
@@ -0,0 +1,199 @@
+"""Entry of the daemon: settings, parts, service, shutdown."""
+
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+from gevent.event import Event
+from loguru import logger
+
+from persimmonspur import __version__
+from persimmonspur.adapters.endpoints import HttpEndpointCalls
+from persimmonspur.adapters.http import NoDelayServer
+from persimmonspur.adapters.objectapi import HttpObjectApi
+from persimmonspur.clock import Clock
+from persimmonspur.daemon import events
+from persimmonspur.daemon.controllers import cell, configuration, endpoints, queries
+from persimmonspur.daemon.controllers.registry import CONTROLLERS, Controller
+from persimmonspur.daemon.filters import standard
+from persimmonspur.daemon.http import KEEP_MS, HttpSurface
+from persimmonspur.daemon.instance import Instance
+from persimmonspur.daemon.settings import SETTINGS, Settings, load_settings
+from persimmonspur.errors import ANSWERS, ErrorKind
+from persimmonspur.peers.transport import NngTransport
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+STALL_PROBE_MS = 50.0
+STALL_REPORT_MS = 100.0
+LEAVE_MARGIN_MS = 1_000.0
+
+# Imported so that their parts register themselves.
+_REGISTERED = (cell, configuration, endpoints, queries, standard)
+
+
+class ServeCommand(Command):
+    """Runs one instance."""
+
+    name = "serve"
+    description = "Runs one instance until SIGTERM."
+    options = [  # noqa: RUF012
+        option(
+            setting.name,
+            None,
+            f"{setting.help}; allowed: {setting.allowed} ({setting.variable})",
+            flag=False,
+        )
+        for setting in SETTINGS
+    ]
+
+    def handle(self) -> int:
+        """Run the daemon's phases."""
+        flags = {setting.name: self.option(setting.name) for setting in SETTINGS}
+        loaded = load_settings(flags, os.environ)
+        if loaded.is_error():
+            for failure in loaded.error:
+                self.line_error(failure.message)
+            return ANSWERS[ErrorKind.INVALID_SETTINGS].exit_code
+        return run(loaded.ok)
+
+
+def main() -> int:
+    """Run the daemon from the command line."""
+    application = Application("persimmonspurd", __version__)
+    command = ServeCommand()
+    application.add(command)
+    application._default_command = "serve"
+    application._single_command = True
+    return int(application.run())
+
+
+def run(settings: Settings) -> int:
+    """Run one instance through all phases.
+
+    :returns: the exit code.
+    """
+    configure_logging(settings)
+    instance = build_instance(settings)
+    try:
+        server = serve(instance)
+    except OSError as error:
+        logger.error("cannot listen: {}", error)
+        return 1
+    wait_for_stop(instance)
+    stop(instance, server)
+    return 0
+
+
+def configure_logging(settings: Settings) -> None:
+    """Log to standard error, one line of JSON per event."""
+    logger.remove()
+    logger.add(_write_log_line, level=settings.log_level, format="{message}")
+
+
+def build_instance(settings: Settings) -> Instance:
+    """Build the parts of an instance; nothing runs yet."""
+    clock = Clock()
+    object_api = HttpObjectApi(settings.object_api)
+    endpoint_calls = HttpEndpointCalls(clock)
+    incarnation = int(clock.wall_ms())
+    return Instance(settings, clock, incarnation, object_api, object_api, endpoint_calls)
+
+
+def serve(instance: Instance) -> NoDelayServer:
+    """Bind the addresses and start all controllers.
+
+    :raises OSError: if an address is taken.
+    """
+    settings = instance.settings
+    transport = NngTransport(f"tcp://{settings.peer_address}", instance.receive)
+    instance.transport = transport
+    controllers: dict[str, Controller] = {}
+    for name in CONTROLLERS:
+        controllers[name] = CONTROLLERS.get(name)(instance)
+        instance.attach(controllers[name])
+    instance.set_controllers(controllers)
+    host, _, port = settings.caller_address.rpartition(":")
+    server = NoDelayServer((host, int(port)), HttpSurface(instance), log=None, error_log=None)
+    server.start()
+    transport.start()
+    for controller in controllers.values():
+        controller.start()
+    gevent.spawn(_measure_stalls, instance)
+    instance.timeline.record(
+        events.STARTED, instance=settings.instance, address=settings.caller_address
+    )
+    return server
+
+
+def wait_for_stop(instance: Instance) -> None:
+    """Wait for SIGTERM and then until callers have forgotten this instance.
+
+    A second signal skips the wait.
+    """
+    stopping = Event()
+    hastened = Event()
+
+    def handle_signal() -> None:
+        if stopping.is_set():
+            hastened.set()
+        stopping.set()
+
+    gevent.signal_handler(signal.SIGTERM, handle_signal)
+    gevent.signal_handler(signal.SIGINT, handle_signal)
+    stopping.wait()
+    instance.timeline.record(events.STOPPING, instance=instance.settings.instance)
+    now_ms = instance.clock.now_ms()
+    instance.cells.execute(instance.cell.begin_leaving(now_ms))
+    hastened.wait((KEEP_MS + LEAVE_MARGIN_MS) / 1000)
+
+
+def stop(instance: Instance, server: NoDelayServer) -> None:
+    """Stop taking queries, finish those that run, and close everything."""
+    instance.leaving = True
+    while instance.queries.running or instance.endpoints.busy:
+        gevent.sleep(0.02)
+    for controller in instance.controllers.values():
+        controller.stop()
+    server.stop(timeout=1)
+    instance.transport.close()
+    instance.timeline.record(events.STOPPED, instance=instance.settings.instance)
+
+
+def _write_log_line(message: "Message") -> None:
+    record = message.record
+    document = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    sys.stderr.buffer.write(msgspec.json.encode(document) + b"\n")
+    sys.stderr.buffer.flush()
+
+
+def _measure_stalls(instance: Instance) -> None:
+    worst_ms = 0.0
+    window_started_ms = instance.clock.now_ms()
+    while True:
+        before_ms = instance.clock.now_ms()
+        gevent.sleep(STALL_PROBE_MS / 1000)
+        now_ms = instance.clock.now_ms()
+        stall_ms = now_ms - before_ms - STALL_PROBE_MS
+        worst_ms = max(worst_ms, stall_ms)
+        instance.metrics.hub_stall_ms.set(worst_ms)
+        if stall_ms > STALL_REPORT_MS:
+            instance.timeline.record(events.HUB_STALLED, stall_ms=round(stall_ms))
+        if now_ms - window_started_ms > 10_000:
+            worst_ms, window_started_ms = 0.0, now_ms
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/persimmonspur/errors.py
@@ -0,0 +1,112 @@
+"""The closed set of error kinds and the response to each."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class Ran(StrEnum):
+    """Whether a request ran at an endpoint."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(StrEnum):
+    """Every kind of error that any surface reports."""
+
+    INVALID_REQUEST = "invalid_request"
+    UNKNOWN_SERVICE = "unknown_service"
+    NOT_READY = "not_ready"
+    LEAVING = "leaving"
+    OVERLOADED = "overloaded"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    INCOMPLETE = "incomplete"
+    NO_SNAPSHOT = "no_snapshot"
+    SNAPSHOT_NOT_HELD = "snapshot_not_held"
+    ENDPOINT_UNAVAILABLE = "endpoint_unavailable"
+    ENDPOINT_DRAINING = "endpoint_draining"
+    ENDPOINT_FAILED = "endpoint_failed"
+    NOT_OWNER = "not_owner"
+    CANCELLED = "cancelled"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    STALE_EPOCH = "stale_epoch"
+    INVALID_CONFIGURATION = "invalid_configuration"
+    INVALID_SETTINGS = "invalid_settings"
+    CONFLICT = "conflict"
+    STORE_UNAVAILABLE = "store_unavailable"
+    UNREACHABLE = "unreachable"
+    INTERNAL = "internal"
+
+
+@frozen
+class Response:
+    """How a surface reports an error kind.
+
+    :param status: HTTP status code.
+    :param ran: what the kind says about execution unless the failure knows better.
+    :param exit_code: exit code of the command-line tool.
+    :param retry: whether the same request may succeed later.
+    """
+
+    status: int
+    ran: Ran
+    exit_code: int
+    retry: bool
+
+
+ANSWERS: dict[ErrorKind, Response] = {
+    ErrorKind.INVALID_REQUEST: Response(400, Ran.NO, 2, retry=False),
+    ErrorKind.UNKNOWN_SERVICE: Response(404, Ran.NO, 3, retry=False),
+    ErrorKind.NOT_READY: Response(503, Ran.NO, 4, retry=True),
+    ErrorKind.LEAVING: Response(503, Ran.NO, 5, retry=True),
+    ErrorKind.OVERLOADED: Response(429, Ran.NO, 6, retry=True),
+    ErrorKind.DEADLINE_EXCEEDED: Response(504, Ran.UNKNOWN, 7, retry=True),
+    ErrorKind.INCOMPLETE: Response(503, Ran.UNKNOWN, 8, retry=True),
+    ErrorKind.NO_SNAPSHOT: Response(503, Ran.NO, 9, retry=True),
+    ErrorKind.SNAPSHOT_NOT_HELD: Response(409, Ran.NO, 10, retry=True),
+    ErrorKind.ENDPOINT_UNAVAILABLE: Response(503, Ran.NO, 11, retry=True),
+    ErrorKind.ENDPOINT_DRAINING: Response(503, Ran.NO, 12, retry=True),
+    ErrorKind.ENDPOINT_FAILED: Response(502, Ran.UNKNOWN, 13, retry=True),
+    ErrorKind.NOT_OWNER: Response(503, Ran.NO, 14, retry=True),
+    ErrorKind.CANCELLED: Response(499, Ran.UNKNOWN, 15, retry=False),
+    ErrorKind.OUTCOME_UNKNOWN: Response(502, Ran.UNKNOWN, 16, retry=False),
+    ErrorKind.STALE_EPOCH: Response(409, Ran.UNKNOWN, 17, retry=False),
+    ErrorKind.INVALID_CONFIGURATION: Response(400, Ran.NO, 18, retry=False),
+    ErrorKind.INVALID_SETTINGS: Response(400, Ran.NO, 19, retry=False),
+    ErrorKind.CONFLICT: Response(409, Ran.NO, 20, retry=False),
+    ErrorKind.STORE_UNAVAILABLE: Response(503, Ran.UNKNOWN, 21, retry=True),
+    ErrorKind.UNREACHABLE: Response(503, Ran.UNKNOWN, 22, retry=True),
+    ErrorKind.INTERNAL: Response(500, Ran.UNKNOWN, 1, retry=False),
+}
+
+
+@frozen
+class Failure:
+    """One failed operation.
+
+    :param kind: the error kind.
+    :param message: one line for people that names the field or part and the value.
+    :param ran: whether the request ran.
+    :param retry_after_ms: when to come back, in milliseconds; ``None`` gives no advice.
+    """
+
+    kind: ErrorKind
+    message: str
+    ran: Ran
+    retry_after_ms: float | None = None
+
+    @classmethod
+    def of(
+        cls,
+        kind: ErrorKind,
+        message: str,
+        ran: Ran | None = None,
+        retry_after_ms: float | None = None,
+    ) -> "Failure":
+        """Build a failure with the ``ran`` value that its kind implies.
+
+        :param ran: overrides the value of :data:`ANSWERS`.
+        """
+        return cls(kind, message, ran if ran is not None else ANSWERS[kind].ran, retry_after_ms)
--- /dev/null
+++ b/src/persimmonspur/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load, experiment cases and reports."""
--- /dev/null
+++ b/src/persimmonspur/load/processes.py
@@ -0,0 +1,252 @@
+"""Starts stand-ins and daemons as processes on loopback, for demos, experiments and tests."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from attrs import define, field
+
+from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.objectapi import HttpObjectApi
+from persimmonspur.core.configuration.document import RootDocument, encode_root
+from persimmonspur.core.configuration.holder import ROOT_KEY
+from persimmonspur.load.deployment import DeploymentShape, build_configuration, build_specs
+from persimmonspur.model.configuration import Configuration
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+
+
+@define
+class Daemon:
+    """One daemon process and how to start it again."""
+
+    name: str
+    arguments: list[str]
+    caller_address: str
+    process: "subprocess.Popen[bytes]"
+
+
+@define
+class Processes:
+    """A whole deployment on loopback.
+
+    :param controls: control address of the searchers by failure domain.
+    """
+
+    deployment: DeploymentShape
+    configuration: Configuration
+    object_api: str
+    controls: dict[str, str]
+    daemons: dict[str, Daemon] = field(factory=dict)
+    directory: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="persimmonspur-")))
+    _standins: "list[subprocess.Popen[bytes]]" = field(factory=list)
+
+    def list_addresses(self) -> list[str]:
+        """Return the caller addresses of all daemons."""
+        return [daemon.caller_address for daemon in self.daemons.values()]
+
+    def start_daemon(self, name: str, failure_domain: str) -> Daemon:
+        """Start a daemon on free ports."""
+        caller_address = find_free_address()
+        arguments = [
+            sys.executable,
+            "-m",
+            "persimmonspur.daemon.run",
+            f"--instance={name}",
+            f"--failure-domain={failure_domain}",
+            f"--caller-address={caller_address}",
+            f"--peer-address={find_free_address()}",
+            f"--object-api={self.object_api}",
+            "--log-level=INFO",
+        ]
+        daemon = Daemon(name, arguments, caller_address, self._launch_daemon(name, arguments))
+        self.daemons[name] = daemon
+        return daemon
+
+    def restart_daemon(self, name: str) -> None:
+        """Start a daemon again under its name and addresses after it ended."""
+        daemon = self.daemons[name]
+        daemon.process = self._launch_daemon(name, daemon.arguments)
+
+    def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every daemon is ready and knows every member.
+
+        :raises TimeoutError: if that takes too long.
+        """
+        deadline = time.monotonic() + timeout_s
+        for daemon in self.daemons.values():
+            while not self._is_ready(daemon):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"instance {daemon.name} is not ready")
+                time.sleep(0.05)
+
+    def control_searchers(self, changes: dict[str, Any]) -> None:
+        """Change stand-in searchers.
+
+        :param changes: what to change by endpoint name.
+        """
+        domains = {}
+        for service in self.configuration.services:
+            for endpoint in service.endpoints:
+                domains[endpoint.name] = endpoint.failure_domain
+        by_domain: dict[str, dict[str, Any]] = {}
+        for name, change in changes.items():
+            by_domain.setdefault(domains[name], {})[name] = change
+        for domain, part in by_domain.items():
+            post_json(self.controls[domain], "/control", part)
+
+    def read_counts(self) -> dict[str, Any]:
+        """Return what every stand-in searcher saw, by endpoint name."""
+        counts: dict[str, Any] = {}
+        for address in self.controls.values():
+            counts.update(post_json(address, "/counts", {}))
+        return counts
+
+    def stop(self) -> None:
+        """End all processes that this object started."""
+        processes = [daemon.process for daemon in self.daemons.values()]
+        for process in processes:
+            _signal(process, signal.SIGCONT)
+            # Twice: a demo need not wait until callers forget the addresses.
+            _signal(process, signal.SIGTERM)
+        time.sleep(0.1)
+        for process in processes:
+            _signal(process, signal.SIGTERM)
+        _wait(processes)
+        for process in self._standins:
+            _signal(process, signal.SIGTERM)
+        _wait(self._standins)
+
+    def _launch_daemon(self, name: str, arguments: list[str]) -> "subprocess.Popen[bytes]":
+        with (self.directory / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(arguments, stdout=log, stderr=log, env=_build_environment())
+
+    def _is_ready(self, daemon: Daemon) -> bool:
+        document = get_json(daemon.caller_address, "/v1/resolve")
+        if document is None or len(document["addresses"]) < len(self.daemons):
+            return False
+        ready = get_json(daemon.caller_address, "/readyz")
+        endpoints = sum(len(service.endpoints) for service in self.configuration.services)
+        return bool(ready and ready["ready"] and ready["usable_endpoints"] >= endpoints)
+
+
+def start_deployment(
+    deployment: DeploymentShape, instances: int, snapshots: tuple[str, ...] = ("1.1",)
+) -> Processes:
+    """Start the object API, the searchers and the daemons, and wait until they serve.
+
+    :param instances: number of daemons.
+    """
+    directory = Path(tempfile.mkdtemp(prefix="persimmonspur-"))
+    standins = []
+    process, document = _launch_standin(["objectapi"], directory, "objectapi")
+    standins.append(process)
+    object_api = document["address"]
+    planned = build_configuration(deployment)
+    addresses: dict[str, str] = {}
+    controls: dict[str, str] = {}
+    for index, domain in enumerate(deployment.failure_domains):
+        specs = build_specs(planned, domain, list(snapshots))
+        path = directory / f"searchers-{domain}.json"
+        path.write_bytes(msgspec.json.encode(specs))
+        arguments = ["searchers", "--specs", str(path), "--seed", str(index + 1)]
+        process, document = _launch_standin(arguments, directory, f"searchers-{domain}")
+        standins.append(process)
+        addresses.update(document["endpoints"])
+        controls[domain] = document["control"]
+    configuration = build_configuration(deployment, addresses)
+    store_configuration(object_api, configuration)
+    processes = Processes(deployment, configuration, object_api, controls, {}, directory, standins)
+    domains = deployment.failure_domains
+    for index in range(instances):
+        processes.start_daemon(f"entry-{index}", domains[index % len(domains)])
+    try:
+        processes.wait_ready()
+    except TimeoutError:
+        processes.stop()
+        raise
+    return processes
+
+
+def store_configuration(object_api: str, configuration: Configuration) -> None:
+    """Store the first configuration.
+
+    :raises RuntimeError: if the object API refuses.
+    """
+    api = HttpObjectApi(object_api)
+    root = encode_root(RootDocument(1, "first", configuration))
+    result = api.write(ROOT_KEY, root, 0)
+    api.close()
+    if result.is_error():
+        raise RuntimeError(result.error.message)
+
+
+def find_free_address() -> str:
+    """Return a loopback address with a port that was free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def get_json(address: str, path: str) -> Any:
+    """Return a JSON document, or ``None`` if the server does not answer."""
+    client = connect_client(address, 1, 2_000.0)
+    try:
+        return json.loads(bytes(client.get(path).read()))
+    except (OSError, ValueError, RuntimeError):
+        return None
+    finally:
+        client.close()
+
+
+def post_json(address: str, path: str, document: Any) -> Any:
+    """Post a JSON document and return the answer."""
+    client = connect_client(address, 1, 10_000.0)
+    try:
+        return json.loads(bytes(client.post(path, body=msgspec.json.encode(document)).read()))
+    finally:
+        client.close()
+
+
+def _launch_standin(
+    arguments: list[str], directory: Path, name: str
+) -> "tuple[subprocess.Popen[bytes], Any]":
+    with (directory / f"{name}.log").open("ab") as log:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "persimmonspur.standins.run", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=log,
+            env=_build_environment(),
+        )
+    assert process.stdout is not None
+    return process, json.loads(process.stdout.readline())
+
+
+def _build_environment() -> dict[str, str]:
+    source = str(Path(__file__).resolve().parents[2])
+    inherited = os.environ.get("PYTHONPATH", "")
+    return {**os.environ, "PYTHONPATH": f"{source}{os.pathsep}{inherited}"}
+
+
+def _signal(process: "subprocess.Popen[bytes]", number: int) -> None:
+    if process.poll() is None:
+        process.send_signal(number)
+
+
+def _wait(processes: "list[subprocess.Popen[bytes]]") -> None:
+    deadline = time.monotonic() + STOP_TIMEOUT_S
+    for process in processes:
+        try:
+            process.wait(max(0.1, deadline - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/src/persimmonspur/model/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable data that every part of the system shares."""
--- /dev/null
+++ b/src/persimmonspur/model/query.py
@@ -0,0 +1,85 @@
+"""Queries and their answers."""
+
+from typing import Any
+
+import msgspec
+from attrs import field, frozen
+
+from persimmonspur.errors import Failure
+from persimmonspur.model.configuration import KEY_SPACE_UNITS
+
+
+class SnapshotId(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """An index version of a shard map epoch."""
+
+    epoch: int
+    version: int
+
+    def __str__(self) -> str:
+        """Return the form used in headers, ``epoch.version``."""
+        return f"{self.epoch}.{self.version}"
+
+    @classmethod
+    def parse(cls, text: str) -> "SnapshotId":
+        """Parse ``epoch.version``.
+
+        :raises ValueError: if the text has another form.
+        """
+        epoch, _, version = text.partition(".")
+        return cls(int(epoch), int(version))
+
+
+@frozen
+class Query:
+    """A caller's request.
+
+    :param timeout_ms: time the caller waits, in milliseconds.
+    :param epoch: table version that the caller got from resolve; 0 if it never resolved.
+    :param repeatable: whether the request may run more than once.
+    :param allow_partial: whether an answer with missing shards is acceptable.
+    :param key: unit of the key space if one shard holds the answer.
+    :param limit: most records in the answer; ``None`` for all.
+    """
+
+    service: str
+    priority_class: str
+    timeout_ms: float
+    request_id: str
+    epoch: int = 0
+    repeatable: bool = True
+    allow_partial: bool = False
+    key: int | None = None
+    body: Any = None
+    limit: int | None = None
+
+
+@frozen
+class Coverage:
+    """How much of the key space an answer covers, in key space units."""
+
+    covered: int
+    total: int = KEY_SPACE_UNITS
+
+    @property
+    def complete(self) -> bool:
+        """Whether nothing is missing."""
+        return self.covered == self.total
+
+
+@frozen
+class QueryAnswer:
+    """The answer to a query.
+
+    :param snapshot: the one snapshot that every record comes from.
+    :param missing_shards: names of the shards that are not covered.
+    :param failure: why the answer is an error, if it is one.
+    :param sub_requests: sub-requests sent, hedges and retries included.
+    """
+
+    request_id: str
+    snapshot: SnapshotId | None
+    coverage: Coverage
+    missing_shards: tuple[str, ...]
+    records: list[Any] = field(factory=list)
+    failure: Failure | None = None
+    sub_requests: int = 0
--- /dev/null
+++ b/src/persimmonspur/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Transport between instances."""
--- /dev/null
+++ b/src/persimmonspur/standins/dataset.py
@@ -0,0 +1,28 @@
+"""The records that stand-in searchers hold, computed so that anyone can check an answer."""
+
+from typing import Any
+
+from persimmonspur.core.ownership.rendezvous import hash_key
+from persimmonspur.model.configuration import KEY_SPACE_UNITS
+
+RECORDS = 256
+UNITS_PER_RECORD = KEY_SPACE_UNITS // RECORDS
+
+
+def list_records(service: str, version: int, start: int, stop: int, top: int) -> list[Any]:
+    """Return the best records of a range of the key space.
+
+    The records depend on the index version and not on the shard map, so a
+    complete answer is the same before and after a repartition.
+
+    :param start: first key space unit.
+    :param stop: unit after the last one.
+    :param top: most records to return.
+    """
+    records: list[dict[str, Any]] = []
+    for index in range(-(-start // UNITS_PER_RECORD), -(-stop // UNITS_PER_RECORD)):
+        identifier = f"{service}-{index:04d}"
+        score = hash_key(identifier, str(version)) % 10_000
+        records.append({"id": identifier, "score": score, "version": version})
+    records.sort(key=lambda record: (-record["score"], record["id"]))
+    return records[:top]
