Add experiment cases, a naive baseline tier and the load command

The demo could not say whether the policy is better than a simple tier, and no fault was injected anywhere.

--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -6,12 +6,14 @@
 
 from persimmonspur import __version__
 from persimmonspur.cli.commands.demo import DemoCommand
+from persimmonspur.cli.commands.load import LoadCommand
 
 
 def main() -> int:
     """Run the tool."""
     application = Application("persimmonspur", __version__)
     application.add(DemoCommand())
+    application.add(LoadCommand())
     return int(application.run())
 
 
--- a/src/persimmonspur/load/deployment.py
+++ b/src/persimmonspur/load/deployment.py
@@ -80,17 +80,16 @@
     return 2 if shape.endpoints <= 10 else 3
 
 
-def build_shard_map(shape: ServiceShape, epoch: int = 1, shards: int | None = None) -> ShardMap:
+def build_shard_map(service: str, epoch: int, count: int) -> ShardMap:
     """Divide the key space evenly.
 
-    :param shards: number of shards; by default endpoints over replicas.
+    :param count: number of shards.
     """
-    count = shards if shards is not None else shape.endpoints // count_replicas(shape)
     bounds = [KEY_SPACE_UNITS * index // count for index in range(count + 1)]
     return ShardMap(
         epoch,
         tuple(
-            Shard(f"{shape.name}-e{epoch}-s{index}", bounds[index], bounds[index + 1])
+            Shard(f"{service}-e{epoch}-s{index}", bounds[index], bounds[index + 1])
             for index in range(count)
         ),
     )
@@ -103,8 +102,8 @@
 
     :param addresses: address by endpoint name; missing ones get a placeholder.
     """
-    shard_map = build_shard_map(shape)
-    count = len(shard_map.shards)
+    count = shape.endpoints // count_replicas(shape)
+    shard_map = build_shard_map(shape.name, 1, count)
     domains = deployment.failure_domains
     endpoints = []
     for index in range(shape.endpoints):
--- a/src/persimmonspur/load/processes.py
+++ b/src/persimmonspur/load/processes.py
@@ -1,5 +1,6 @@
 """Starts stand-ins and daemons as processes on loopback, for demos, experiments and tests."""
 
+import contextlib
 import json
 import os
 import signal
@@ -8,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +22,7 @@
 from persimmonspur.core.configuration.holder import ROOT_KEY
 from persimmonspur.load.deployment import DeploymentShape, build_configuration, build_specs
 from persimmonspur.model.configuration import Configuration
+from persimmonspur.registry import Registry
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
@@ -40,12 +43,14 @@
     """A whole deployment on loopback.
 
     :param controls: control address of the searchers by failure domain.
+    :param tier: name in :data:`TIERS`.
     """
 
     deployment: DeploymentShape
     configuration: Configuration
     object_api: str
     controls: dict[str, str]
+    tier: str = "policy"
     daemons: dict[str, Daemon] = field(factory=dict)
     directory: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="persimmonspur-")))
     _standins: "list[subprocess.Popen[bytes]]" = field(factory=list)
@@ -57,21 +62,38 @@
     def start_daemon(self, name: str, failure_domain: str) -> Daemon:
         """Start a daemon on free ports."""
         caller_address = find_free_address()
-        arguments = [
-            sys.executable,
-            "-m",
-            "persimmonspur.daemon.run",
-            f"--instance={name}",
-            f"--failure-domain={failure_domain}",
-            f"--caller-address={caller_address}",
-            f"--peer-address={find_free_address()}",
-            f"--object-api={self.object_api}",
-            "--log-level=INFO",
-        ]
+        arguments = build_policy_arguments(name, failure_domain, caller_address, self.object_api)
         daemon = Daemon(name, arguments, caller_address, self._launch_daemon(name, arguments))
         self.daemons[name] = daemon
         return daemon
 
+    def start_naive(self, instances: int) -> None:
+        """Start the naive tier on free ports.
+
+        :param instances: number of processes.
+        """
+        addresses = find_free_addresses(instances)
+        for index, address in enumerate(addresses):
+            name = f"entry-{index}"
+            arguments = [
+                sys.executable,
+                "-m",
+                "persimmonspur.load.naive",
+                f"--caller-address={address}",
+                f"--object-api={self.object_api}",
+                f"--addresses={','.join(addresses)}",
+                f"--seed={index + 1}",
+            ]
+            process = self._launch_daemon(name, arguments)
+            self.daemons[name] = Daemon(name, arguments, address, process)
+
+    def signal_daemon(self, name: str, number: int) -> None:
+        """Send a signal to one daemon; SIGKILL also waits for its end."""
+        process = self.daemons[name].process
+        _signal(process, number)
+        if number == signal.SIGKILL:
+            process.wait()
+
     def restart_daemon(self, name: str) -> None:
         """Start a daemon again under its name and addresses after it ended."""
         daemon = self.daemons[name]
@@ -111,6 +133,12 @@
             counts.update(post_json(address, "/counts", {}))
         return counts
 
+    def kill(self) -> None:
+        """End all processes at once, without the daemons' orderly shutdown."""
+        for process in [daemon.process for daemon in self.daemons.values()] + self._standins:
+            _signal(process, signal.SIGKILL)
+        _wait([daemon.process for daemon in self.daemons.values()] + self._standins)
+
     def stop(self) -> None:
         """End all processes that this object started."""
         processes = [daemon.process for daemon in self.daemons.values()]
@@ -128,7 +156,7 @@
 
     def _launch_daemon(self, name: str, arguments: list[str]) -> "subprocess.Popen[bytes]":
         with (self.directory / f"{name}.log").open("ab") as log:
-            return subprocess.Popen(arguments, stdout=log, stderr=log, env=_build_environment())
+            return subprocess.Popen(arguments, stdout=log, stderr=log, env=build_environment())
 
     def _is_ready(self, daemon: Daemon) -> bool:
         document = get_json(daemon.caller_address, "/v1/resolve")
@@ -140,11 +168,16 @@
 
 
 def start_deployment(
-    deployment: DeploymentShape, instances: int, snapshots: tuple[str, ...] = ("1.1",)
+    deployment: DeploymentShape,
+    instances: int,
+    snapshots: tuple[str, ...] = ("1.1",),
+    tier: str = "policy",
 ) -> Processes:
     """Start the object API, the searchers and the daemons, and wait until they serve.
 
     :param instances: number of daemons.
+    :param tier: name in :data:`TIERS`.
+    :raises TimeoutError: if the daemons are not ready in time.
     """
     directory = Path(tempfile.mkdtemp(prefix="persimmonspur-"))
     standins = []
@@ -165,18 +198,53 @@
         controls[domain] = document["control"]
     configuration = build_configuration(deployment, addresses)
     store_configuration(object_api, configuration)
-    processes = Processes(deployment, configuration, object_api, controls, {}, directory, standins)
-    domains = deployment.failure_domains
-    for index in range(instances):
-        processes.start_daemon(f"entry-{index}", domains[index % len(domains)])
+    processes = Processes(
+        deployment, configuration, object_api, controls, tier, {}, directory, standins
+    )
     try:
+        TIERS.get(tier)(processes, instances)
         processes.wait_ready()
-    except TimeoutError:
-        processes.stop()
+    except BaseException:
+        processes.kill()
         raise
     return processes
 
 
+StartTier = Callable[[Processes, int], None]
+TIERS: Registry[StartTier] = Registry("tier")
+
+
+@TIERS.register("policy")
+def start_policy(processes: Processes, instances: int) -> None:
+    """Start the daemons of this project."""
+    domains = processes.deployment.failure_domains
+    for index in range(instances):
+        processes.start_daemon(f"entry-{index}", domains[index % len(domains)])
+
+
+@TIERS.register("naive")
+def start_naive(processes: Processes, instances: int) -> None:
+    """Start the tier to compare with."""
+    processes.start_naive(instances)
+
+
+def build_policy_arguments(
+    name: str, failure_domain: str, caller_address: str, object_api: str
+) -> list[str]:
+    """Return the command of a daemon with a free peer address."""
+    return [
+        sys.executable,
+        "-m",
+        "persimmonspur.daemon.run",
+        f"--instance={name}",
+        f"--failure-domain={failure_domain}",
+        f"--caller-address={caller_address}",
+        f"--peer-address={find_free_address()}",
+        f"--object-api={object_api}",
+        "--log-level=INFO",
+    ]
+
+
 def store_configuration(object_api: str, configuration: Configuration) -> None:
     """Store the first configuration.
 
@@ -190,6 +258,22 @@
         raise RuntimeError(result.error.message)
 
 
+def build_environment() -> dict[str, str]:
+    """Return an environment in which child processes find this package."""
+    source = str(Path(__file__).resolve().parents[2])
+    inherited = os.environ.get("PYTHONPATH", "")
+    return {**os.environ, "PYTHONPATH": f"{source}{os.pathsep}{inherited}"}
+
+
+def find_free_addresses(count: int) -> list[str]:
+    """Return several different loopback addresses with ports that were free just now."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+
+
 def find_free_address() -> str:
     """Return a loopback address with a port that was free just now."""
     with socket.socket() as probe:
@@ -225,18 +309,12 @@
             [sys.executable, "-m", "persimmonspur.standins.run", *arguments],
             stdout=subprocess.PIPE,
             stderr=log,
-            env=_build_environment(),
+            env=build_environment(),
         )
     assert process.stdout is not None
     return process, json.loads(process.stdout.readline())
 
 
-def _build_environment() -> dict[str, str]:
-    source = str(Path(__file__).resolve().parents[2])
-    inherited = os.environ.get("PYTHONPATH", "")
-    return {**os.environ, "PYTHONPATH": f"{source}{os.pathsep}{inherited}"}
-
-
 def _signal(process: "subprocess.Popen[bytes]", number: int) -> None:
     if process.poll() is None:
         process.send_signal(number)
