Write reports of experiments and choose ports that clients cannot take

Ports came from the kernel's range for outgoing connections, so another client could take one between the probe and the daemon's bind; the log of a failed test run said 'Address already in use' and the test only timed out after 30 s. Ports now come from below that range and a daemon that ends is reported at once with its last log line.

--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -7,6 +7,7 @@
 from persimmonspur import __version__
 from persimmonspur.cli.commands.demo import DemoCommand
 from persimmonspur.cli.commands.load import LoadCommand
+from persimmonspur.cli.commands.report import ReportCommand
 
 
 def main() -> int:
@@ -14,6 +15,7 @@
     application = Application("persimmonspur", __version__)
     application.add(DemoCommand())
     application.add(LoadCommand())
+    application.add(ReportCommand())
     return int(application.run())
 
 
--- /dev/null
+++ b/src/persimmonspur/cli/commands/report.py
@@ -0,0 +1,53 @@
+"""``persimmonspur report``: a Markdown report of experiment results."""
+
+from pathlib import Path
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from persimmonspur.errors import ANSWERS, ErrorKind
+from persimmonspur.load.report import read_results, write_report
+from persimmonspur.load.targets import judge_targets
+
+HELP = """\
+Writes a Markdown report with plots beside it and prints how the policy
+compares with the targets.
+
+Example:
+
+  <info>persimmonspur report result.json --output docs/report.md</info>
+"""
+
+
+class ReportCommand(Command):
+    """Writes the report of one or more result files."""
+
+    name = "report"
+    description = "Writes a Markdown report with plots from result files."
+    help = HELP
+    arguments = [argument("files", "result files", multiple=True)]  # noqa: RUF012
+    options = [  # noqa: RUF012
+        option("output", None, "Markdown file", flag=False, default="report.md"),
+        option("json", None, "print the targets as JSON", flag=True),
+    ]
+
+    def handle(self) -> int:
+        """Write the report."""
+        paths = [Path(name) for name in self.argument("files")]
+        try:
+            record = read_results(paths)
+        except (OSError, ValueError) as error:
+            self.line_error(f"files: {error}")
+            return ANSWERS[ErrorKind.INVALID_REQUEST].exit_code
+        output = Path(self.option("output"))
+        write_report(record, output)
+        verdicts = judge_targets(record)
+        if self.option("json"):
+            self.line(msgspec.json.encode(verdicts).decode())
+            return 0
+        for verdict in verdicts:
+            word = {True: "met", False: "missed", None: "not run"}[verdict.met]
+            self.line(f"{word:8} {verdict.target}: {verdict.measured}")
+        self.line(f"wrote {output}")
+        return 0
--- a/src/persimmonspur/load/cases.py
+++ b/src/persimmonspur/load/cases.py
@@ -120,11 +120,11 @@
     }
 
 
-@define_case("steady", "constant load without faults", build_mixed)
-@define_case("morning", "morning wave", build_morning)
-@define_case("evening", "evening wave", build_evening)
+# Decorators apply from the last to the first, which is the order of the cases.
 @define_case("both", "both waves together", build_both)
-@define_case("overload", "1.5 times capacity", build_overload)
+@define_case("evening", "evening wave", build_evening)
+@define_case("morning", "morning wave", build_morning)
+@define_case("steady", "constant load without faults", build_mixed)
 def schedule_nothing() -> Schedule:
     """Return no faults."""
     return []
@@ -196,3 +196,9 @@
         Step(0.5, "repartition", faults.repartition),
         Step(0.8, "epoch 1 dropped", faults.drop_old_epoch),
     ]
+
+
+@define_case("overload", "1.5 times capacity", build_overload)
+def schedule_overload() -> Schedule:
+    """Return no faults: the load itself is the fault."""
+    return []
--- a/src/persimmonspur/load/experiment.py
+++ b/src/persimmonspur/load/experiment.py
@@ -36,7 +36,9 @@
 # Time between the hand-over of the start time and the start of the load.
 LEAD_MS = 100.0
 CAPACITY_SECONDS = 2.0
-CAPACITY_STEPS = (0.6, 0.8, 1.0, 1.2)
+CAPACITY_WARMUP_S = 0.5
+# Rates as parts of what the slots of the busiest shard could do.
+CAPACITY_STEPS = (0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0)
 # Share of the offered load that a tier completes as long as it is not over capacity.
 COMPLETE_SHARE = 0.97
 
@@ -209,7 +211,8 @@
 def measure_capacity(processes: Processes, options: Options) -> float:
     """Raise the rate in steps until the tier no longer completes what is offered.
 
-    :returns: the highest goodput seen, in queries per second.
+    :returns: the highest rate that was completed, in queries per second; the goodput of the
+        first step if not even that one was.
     """
     shape = options.deployment.services[0]
     slots = shape.slots * count_replicas(shape)
@@ -218,14 +221,13 @@
     best = 0.0
     for index, step in enumerate(CAPACITY_STEPS):
         flow = Flow(shape.name, "counter", most * step, 1_000.0, OVERLOAD_WORK_MS, 10)
-        short = evolve(options, seconds=CAPACITY_SECONDS)
+        short = evolve(options, seconds=CAPACITY_SECONDS, warmup_s=CAPACITY_WARMUP_S)
         plans = build_plans(processes.list_addresses(), {"load": flow}, short, 900 + index, judge)
         records = send_load(processes, plans, [])
         merged = merge_flows([record.flows["load"] for record in records])
-        goodput = merged.complete / CAPACITY_SECONDS
-        best = max(best, goodput)
         if merged.complete < COMPLETE_SHARE * merged.sent:
-            break
+            return best or merged.complete / CAPACITY_SECONDS
+        best = merged.complete / CAPACITY_SECONDS
     return best
 
 
--- a/src/persimmonspur/load/processes.py
+++ b/src/persimmonspur/load/processes.py
@@ -1,6 +1,5 @@
 """Starts stand-ins and daemons as processes on loopback, for demos, experiments and tests."""
 
-import contextlib
 import json
 import os
 import signal
@@ -11,6 +10,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import msgspec
@@ -26,6 +26,11 @@
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
+PORT_RANGE = (10_000, 32_000)
+
+# Several test runs on one machine must not try the same ports in the same order.
+_PORTS = SystemRandom()
+_used_ports: set[int] = set()
 
 
 @define
@@ -102,11 +107,13 @@
     def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until every daemon is ready and knows every member.
 
-        :raises TimeoutError: if that takes too long.
+        :raises TimeoutError: if that takes too long or a daemon ends.
         """
         deadline = time.monotonic() + timeout_s
         for daemon in self.daemons.values():
             while not self._is_ready(daemon):
+                if daemon.process.poll() is not None:
+                    raise TimeoutError(f"instance {daemon.name} ended: {self._read_log(daemon)}")
                 if time.monotonic() > deadline:
                     raise TimeoutError(f"instance {daemon.name} is not ready")
                 time.sleep(0.05)
@@ -158,6 +165,10 @@
         with (self.directory / f"{name}.log").open("ab") as log:
             return subprocess.Popen(arguments, stdout=log, stderr=log, env=build_environment())
 
+    def _read_log(self, daemon: Daemon) -> str:
+        lines = (self.directory / f"{daemon.name}.log").read_text().splitlines()
+        return lines[-1] if lines else "no log"
+
     def _is_ready(self, daemon: Daemon) -> bool:
         document = get_json(daemon.caller_address, "/v1/resolve")
         if document is None or len(document["addresses"]) < len(self.daemons):
@@ -266,19 +277,25 @@
 
 
 def find_free_addresses(count: int) -> list[str]:
-    """Return several different loopback addresses with ports that were free just now."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+    """Return several different loopback addresses with ports that were free just now.
+
+    The ports lie below the range from which the system takes the ports of
+    outgoing connections: a port from that range can be taken by any client on
+    the machine between this probe and the daemon's own bind.
+    """
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = _PORTS.randrange(*PORT_RANGE)
+        if port in _used_ports or not _is_free(port):
+            continue
+        _used_ports.add(port)
+        addresses.append(f"127.0.0.1:{port}")
+    return addresses
 
 
 def find_free_address() -> str:
-    """Return a loopback address with a port that was free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return one address of :func:`find_free_addresses`."""
+    return find_free_addresses(1)[0]
 
 
 def get_json(address: str, path: str) -> Any:
@@ -315,6 +332,15 @@
     return process, json.loads(process.stdout.readline())
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
+
+
 def _signal(process: "subprocess.Popen[bytes]", number: int) -> None:
     if process.poll() is None:
         process.send_signal(number)
--- /dev/null
+++ b/src/persimmonspur/load/report.py
@@ -0,0 +1,256 @@
+"""Writes a Markdown report with plots from the results of experiments."""
+
+from pathlib import Path
+
+import msgspec
+
+from persimmonspur.load import plots
+from persimmonspur.load.analysis import (
+    BASELINE,
+    PERCENTILES,
+    POLICY,
+    Comparison,
+    Measure,
+    Spread,
+    compare,
+    count_endpoints,
+    count_errors,
+    count_once,
+    count_wrong,
+    list_cases,
+    list_flows,
+    list_runs,
+    measure_completeness,
+    measure_coverage,
+    measure_extra_load,
+    measure_lag,
+    measure_least_coverage,
+    measure_percentile,
+    measure_sub_requests,
+    merge_records,
+)
+from persimmonspur.load.cases import CASES
+from persimmonspur.load.results import ExperimentRecord
+from persimmonspur.load.targets import judge_targets
+
+ANSWERED: tuple[tuple[str, Measure], ...] = (
+    ("complete answers", measure_completeness),
+    ("mean coverage", measure_coverage),
+    ("lowest coverage", measure_least_coverage),
+    ("endpoint requests per answer", measure_sub_requests),
+    ("extra load", measure_extra_load),
+)
+
+
+def read_results(paths: list[Path]) -> ExperimentRecord:
+    """Read and join result files.
+
+    :raises msgspec.DecodeError: if a file is not a result file.
+    :raises ValueError: if the files come from different set-ups.
+    """
+    return merge_records(
+        msgspec.json.decode(path.read_bytes(), type=ExperimentRecord) for path in paths
+    )
+
+
+def write_report(record: ExperimentRecord, output: Path) -> None:
+    """Write the report and its plots beside it.
+
+    :param output: path of the Markdown file.
+    """
+    output.parent.mkdir(parents=True, exist_ok=True)
+    tails = output.with_name(f"{output.stem}-p99.png")
+    curves = output.with_name(f"{output.stem}-latency.png")
+    plots.draw_tails(record, tails)
+    plots.draw_curves(record, curves)
+    output.write_text(render_report(record, [tails.name, curves.name]))
+
+
+def render_report(record: ExperimentRecord, pictures: list[str]) -> str:
+    """Return the report as Markdown.
+
+    :param pictures: file names of the plots.
+    """
+    seeds = sorted({run.seed for run in record.runs})
+    lines = [
+        "# Load report",
+        "",
+        f"Deployment `{record.deployment}`, {record.instances} entry instances, seeds "
+        f"{', '.join(str(seed) for seed in seeds)}, started {record.started}.",
+        "",
+        f"Absolute times and rates are those of this one machine ({record.machine}), on which "
+        "callers, entry instances and searchers share the processors. Compare ratios only: each "
+        "is the policy over the naive tier in the same run and seed. `a [b, c]` is the mean over "
+        "the seeds with the lowest and the highest. Latency counts from the intended send time.",
+        "",
+        *_render_targets(record),
+        *[f"![{name}]({name})" for name in pictures],
+        "",
+        *_render_latency(record),
+        *_render_answers(record),
+        *_render_endpoints(record),
+        *_render_once(record),
+        *_render_errors(record),
+        *_render_generator(record),
+    ]
+    if record.failures:
+        lines += ["## Runs without a result", "", *[f"- {text}" for text in record.failures], ""]
+    return "\n".join(lines)
+
+
+def _render_targets(record: ExperimentRecord) -> list[str]:
+    rows = []
+    for verdict in judge_targets(record):
+        word = {True: "met", False: "**missed**", None: "not run"}[verdict.met]
+        rows.append([verdict.target, verdict.measured, word])
+    return ["## Targets", "", *render_table(["target", "measured", "verdict"], rows), ""]
+
+
+def _render_latency(record: ExperimentRecord) -> list[str]:
+    rows = []
+    for case in list_cases(record):
+        for flow in list_flows(record, case):
+            row = [case, flow]
+            for percentile in PERCENTILES:
+                compared = compare(record, case, measure_percentile(flow, percentile))
+                row.append(f"{format_spread(compared.policy, 1)}; {_format_ratio(compared)}")
+            rows.append(row)
+    headers = ["case", "class", *[f"p{percentile:g} ms; ratio" for percentile in PERCENTILES]]
+    return ["## Latency", "", *render_table(headers, rows), ""]
+
+
+def _render_answers(record: ExperimentRecord) -> list[str]:
+    rows = []
+    for case in list_cases(record):
+        row = [case]
+        for _, measure in ANSWERED:
+            compared = compare(record, case, measure)
+            row.append(
+                f"{format_spread(compared.policy, 4)}; {format_spread(compared.baseline, 4)}; "
+                f"{_format_ratio(compared)}"
+            )
+        row.append(
+            f"{_sum(record, case, POLICY, count_wrong)}; "
+            f"{_sum(record, case, BASELINE, count_wrong)}"
+        )
+        rows.append(row)
+    headers = ["case", *[name for name, _ in ANSWERED], "wrong answers"]
+    return [
+        "## Answers and extra load",
+        "",
+        "Each cell: policy; baseline; ratio. Every answer was compared with the data set.",
+        "",
+        *render_table(headers, rows),
+        "",
+    ]
+
+
+def _render_endpoints(record: ExperimentRecord) -> list[str]:
+    rows = []
+    for case in list_cases(record):
+        use = compare(record, case, lambda run: run.endpoints.worst_use)
+        row = [
+            case,
+            f"{format_spread(use.policy, 2)}; {format_spread(use.baseline, 2)}; "
+            f"{_format_ratio(use)}",
+        ]
+        for name in ("overruns", "cold_overruns", "crashes", "connection_overruns"):
+            row.append(
+                f"{_sum(record, case, POLICY, count_endpoints(name))}; "
+                f"{_sum(record, case, BASELINE, count_endpoints(name))}"
+            )
+        rows.append(row)
+    headers = [
+        "case",
+        "highest concurrent work over slots",
+        "slot overruns",
+        "cold overruns",
+        "crashes",
+        "connection overruns",
+    ]
+    return [
+        "## Endpoints",
+        "",
+        "What the searchers saw; policy; baseline.",
+        "",
+        *render_table(headers, rows),
+        "",
+    ]
+
+
+def _render_once(record: ExperimentRecord) -> list[str]:
+    rows = []
+    for case in list_cases(record):
+        row = [case]
+        for name in ("requests", "repeated", "ran", "duplicates", "false_no", "false_yes"):
+            row.append(
+                f"{_sum(record, case, POLICY, count_once(name))}; "
+                f"{_sum(record, case, BASELINE, count_once(name))}"
+            )
+        rows.append(row)
+    headers = ["case", "requests", "repeated", "ran", "ran twice", "false `no`", "false `yes`"]
+    return ["## Non-repeatable requests", "", *render_table(headers, rows), ""]
+
+
+def _render_errors(record: ExperimentRecord) -> list[str]:
+    rows = []
+    for case in list_cases(record):
+        row = [case]
+        for tier in (POLICY, BASELINE):
+            total: dict[str, int] = {}
+            for run in list_runs(record, case, tier):
+                for kind, count in count_errors(run).items():
+                    total[kind] = total.get(kind, 0) + count
+            row.append(", ".join(f"{kind}: {count}" for kind, count in total.items()) or "none")
+        rows.append(row)
+    return ["## Errors", "", *render_table(["case", "policy", "baseline"], rows), ""]
+
+
+def _render_generator(record: ExperimentRecord) -> list[str]:
+    rows = []
+    for case in list_cases(record):
+        row = [case]
+        for percentile in (50.0, 99.0, 100.0):
+            lag = compare(record, case, measure_lag(percentile))
+            row.append(f"{format_spread(lag.policy, 1)}; {format_spread(lag.baseline, 1)}")
+        share = compare(record, case, lambda run: run.generator_cpu_share)
+        row.append(f"{format_spread(share.policy, 2)}; {format_spread(share.baseline, 2)}")
+        rows.append(row)
+    headers = ["case", "lag p50 ms", "lag p99 ms", "lag max ms", "processor share"]
+    return [
+        "## Load generator",
+        "",
+        "Lag is the time from the intended to the real send; it is part of the latency above. "
+        "The processor share is that of the busiest generator process.",
+        "",
+        *render_table(headers, rows),
+        "",
+        "Cases:",
+        "",
+        *[f"- {case}: {CASES.get(case).text}" for case in list_cases(record)],
+        "",
+    ]
+
+
+def render_table(headers: list[str], rows: list[list[str]]) -> list[str]:
+    """Return the lines of a Markdown table."""
+    lines = [f"| {' | '.join(headers)} |", f"|{'---|' * len(headers)}"]
+    lines.extend(f"| {' | '.join(row)} |" for row in rows)
+    return lines
+
+
+def format_spread(spread: Spread | None, digits: int) -> str:
+    """Return mean, lowest and highest."""
+    if spread is None:
+        return "-"
+    if spread.least == spread.most:
+        return f"{spread.mean:.{digits}f}"
+    return f"{spread.mean:.{digits}f} [{spread.least:.{digits}f}, {spread.most:.{digits}f}]"
+
+
+def _format_ratio(compared: Comparison) -> str:
+    return f"x {format_spread(compared.ratio, 2)}" if compared.ratio is not None else "x -"
+
+
+def _sum(record: ExperimentRecord, case: str, tier: str, measure: Measure) -> int:
+    return int(sum(measure(run) or 0 for run in list_runs(record, case, tier)))
--- /dev/null
+++ b/tests/load/test_processes.py
@@ -0,0 +1,28 @@
+import sys
+
+import pytest
+
+from persimmonspur.load import processes
+from persimmonspur.load.deployment import DEPLOYMENTS, build_configuration
+from persimmonspur.load.processes import Processes, find_free_addresses
+
+
+def test_ports_are_outside_the_range_of_outgoing_connections():
+    # A port of that range was taken by a client between the probe and the
+    # daemon's bind, and the deployment never became ready.
+    addresses = find_free_addresses(50)
+    ports = {int(address.rpartition(":")[2]) for address in addresses}
+    assert len(ports) == 50
+    assert max(ports) < 32_768
+
+
+def test_a_daemon_that_ends_is_reported_at_once(tmp_path, monkeypatch):
+    # Without the check the caller waits for the whole start timeout and never sees the cause.
+    shape = DEPLOYMENTS["ulaanbaatar"]
+    deployment = Processes(shape, build_configuration(shape), "", {}, directory=tmp_path)
+    command = [sys.executable, "-c", "import sys; sys.exit('cannot listen')"]
+    monkeypatch.setattr(processes, "build_policy_arguments", lambda *arguments: command)
+    daemon = deployment.start_daemon("entry-0", "sukhbaatar")
+    daemon.process.wait()
+    with pytest.raises(TimeoutError, match="cannot listen"):
+        deployment.wait_ready(timeout_s=30)
--- /dev/null
+++ b/tests/load/test_results.py
@@ -0,0 +1,70 @@
+import pytest
+
+from persimmonspur.load.results import (
+    check_once,
+    decode_histogram,
+    merge_flows,
+    record_flow,
+    summarise_endpoints,
+)
+from persimmonspur.load.workload import FlowResult
+
+
+def build_counts(runs=None, **changes):
+    seen = {
+        "requests": 1,
+        "overruns": 0,
+        "cold_overruns": 0,
+        "crashes": 0,
+        "connection_overruns": 0,
+        "most_running": 1,
+        "runs": runs or {},
+    }
+    return {**seen, **changes}
+
+
+@pytest.mark.parametrize(
+    ("answers", "times", "field"),
+    [
+        (["no"], 1, "false_no"),
+        (["ok"], 0, "false_yes"),
+        (["unknown", "yes"], 0, "false_yes"),
+        (["ok", "ok"], 2, "duplicates"),
+    ],
+)
+def test_labels_that_contradict_the_searchers_are_counted(answers, times, field):
+    counts = {"e": build_counts({"id/shard": times} if times else {})}
+    assert getattr(check_once({"id": answers}, counts), field) == 1
+
+
+@pytest.mark.parametrize(
+    ("answers", "times"), [(["no"], 0), (["ok"], 1), (["unknown"], 1), (["no", "ok"], 1)]
+)
+def test_true_labels_are_not_counted(answers, times):
+    counts = {"e": build_counts({"id/shard": times} if times else {})}
+    record = check_once({"id": answers}, counts)
+    assert (record.false_no, record.false_yes, record.duplicates) == (0, 0, 0)
+
+
+def test_an_execution_at_two_endpoints_is_a_duplicate():
+    # Each endpoint alone saw the request once.
+    counts = {"a": build_counts({"id/s0": 1}), "b": build_counts({"id/s0": 1})}
+    assert check_once({"id": ["ok"]}, counts).duplicates == 1
+
+
+def test_the_worst_use_is_relative_to_each_endpoints_own_slots():
+    counts = {"a": build_counts(most_running=3), "b": build_counts(most_running=2)}
+    record = summarise_endpoints(counts, {"a": 4, "b": 1})
+    assert (record.most_running, record.worst_use) == (3, 2.0)
+
+
+def test_flows_of_several_generators_add_up():
+    parts = []
+    for latency_us in (1_000, 9_000):
+        result = FlowResult(sent=1, complete=1, covered=1.0)
+        result.histogram.record_value(latency_us)
+        result.errors["overloaded"] += 1
+        parts.append(record_flow(result))
+    merged = merge_flows(parts)
+    assert (merged.sent, merged.errors) == (2, {"overloaded": 2})
+    assert decode_histogram(merged.histogram).get_total_count() == 2
