Finish running responses before the daemon exits

Cause: the server was stopped while handlers could still write, since gevent's WSGI server does not wait for handlers that run outside a pool.

The instance now has phases. While it leaves, responses close their connection, so callers drop kept connections before the process ends; it stops once every response has been written.

Ruled out: waiting for the handler greenlets through a server pool, because idle kept connections also hold a pool slot and the wait would never end.

Conclusion: no running request is cut by the HTTP side; the hand-over of budgets is open.

--- a/src/persimmonspur/adapters/http.py
+++ b/src/persimmonspur/adapters/http.py
@@ -53,12 +53,18 @@
 
 
 class NoDelayServer(WSGIServer):
-    """gevent's WSGI server without Nagle's algorithm."""
+    """gevent's WSGI server without Nagle's algorithm, with a count of open connections."""
+
+    open_connections = 0
 
     def handle(self, sock: gevent.socket.socket, address: Any) -> None:
         """Serve one connection."""
         sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
-        super().handle(sock, address)
+        self.open_connections += 1
+        try:
+            super().handle(sock, address)
+        finally:
+            self.open_connections -= 1
 
 
 def read_body(environ: dict[str, Any]) -> bytes:
--- a/src/persimmonspur/daemon/events.py
+++ b/src/persimmonspur/daemon/events.py
@@ -42,6 +42,9 @@
 STOPPING = define_event(1002, "stopping", "INFO", "instance {instance} stops")
 STOPPED = define_event(1003, "stopped", "INFO", "instance {instance} stopped")
 HUB_STALLED = define_event(1004, "hub_stalled", "WARNING", "the hub stalled for {stall_ms} ms")
+LISTEN_FAILED = define_event(
+    1005, "listen_failed", "ERROR", "cannot listen on an address of the settings: {reason}"
+)
 TABLE_ADOPTED = define_event(2001, "table_adopted", "INFO", "adopted cell table {version}")
 TABLE_WRITTEN = define_event(2002, "table_written", "INFO", "wrote cell table {version}")
 TABLE_CONFLICT = define_event(
--- a/src/persimmonspur/daemon/http.py
+++ b/src/persimmonspur/daemon/http.py
@@ -1,6 +1,6 @@
 """HTTP surface for callers and operators."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 from typing import Any
 from urllib.parse import parse_qs
@@ -11,6 +11,7 @@
 from persimmonspur.adapters.http import StartResponse, read_body, respond_json
 from persimmonspur.daemon.filters.chain import RequestContext, run_chain
 from persimmonspur.daemon.instance import Instance
+from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.errors import ANSWERS, ErrorKind, Failure
 from persimmonspur.model.configuration import KEY_SPACE_UNITS
 from persimmonspur.model.query import Query, QueryAnswer
@@ -44,9 +45,21 @@
 
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
-
-    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
-        """Answer one HTTP request."""
+        self.unfinished = 0
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one HTTP request and count it until its response has been written."""
+        self.unfinished += 1
+        try:
+            if self._instance.phase >= Phase.LEAVING:
+                start_response = _close_connection(start_response)
+            parts = self._route(environ, start_response)
+        except BaseException:
+            self.unfinished -= 1
+            raise
+        return _CountedBody(parts, self)
+
+    def _route(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         name = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
         if name not in ROUTES:
             read_body(environ)
@@ -169,6 +182,33 @@
     return ANSWERS[failure.kind].status, document
 
 
+class _CountedBody:
+    """A response body that tells the surface when the server has written it."""
+
+    def __init__(self, parts: list[bytes], surface: HttpSurface) -> None:
+        self._parts = parts
+        self._surface = surface
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._parts)
+
+    def __len__(self) -> int:
+        return len(self._parts)
+
+    def close(self) -> None:
+        """Take the response off the count; the server calls this even if the caller is gone."""
+        self._surface.unfinished -= 1
+
+
+def _close_connection(start_response: StartResponse) -> StartResponse:
+    """Make callers drop kept connections while the instance leaves."""
+
+    def start(status: str, headers: list[tuple[str, str]]) -> Any:
+        return start_response(status, [*headers, ("connection", "close")])
+
+    return start
+
+
 def _find_fault(document: QueryDocument) -> str:
     if not 0 < document.timeout_ms <= MAX_TIMEOUT_MS:
         return f"timeout_ms: {document.timeout_ms}; allowed: above 0 and at most {MAX_TIMEOUT_MS}"
--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -9,6 +9,7 @@
 from persimmonspur.core.requests.coordination import CoordinationContext
 from persimmonspur.core.routing.view import RoutingView
 from persimmonspur.daemon.controllers.registry import Controller, Handler, PeerMessage
+from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.daemon.metrics import Metrics
 from persimmonspur.daemon.settings import Settings
 from persimmonspur.daemon.timeline import Timeline
@@ -70,7 +71,7 @@
         self.coordination_context = CoordinationContext(
             self.view, settings.failure_domain, Random(settings.seed)
         )
-        self.leaving = False
+        self.phase = Phase.STARTING
         self._handlers: dict[type, Handler] = {}
         self._delays: dict[str, DelayEstimator] = {}
 
@@ -88,7 +89,13 @@
     @property
     def ready(self) -> bool:
         """Whether the instance can serve queries."""
-        return self.holder.version > 0 and self.cell.table_version > 0 and not self.leaving
+        known = self.holder.version > 0 and self.cell.table_version > 0
+        return known and self.phase is Phase.SERVING
+
+    @property
+    def leaving(self) -> bool:
+        """Whether new queries are rejected because the instance stops."""
+        return self.phase is Phase.STOPPING
 
     def attach(self, controller: Controller) -> None:
         """Register a controller's message handlers."""
--- a/src/persimmonspur/daemon/run.py
+++ b/src/persimmonspur/daemon/run.py
@@ -12,6 +12,7 @@
 from cleo.helpers import option
 from gevent.event import Event
 from loguru import logger
+from pynng.exceptions import NNGException
 
 from persimmonspur import __version__
 from persimmonspur.adapters.endpoints import HttpEndpointCalls
@@ -24,6 +25,7 @@
 from persimmonspur.daemon.filters import standard
 from persimmonspur.daemon.http import KEEP_MS, HttpSurface
 from persimmonspur.daemon.instance import Instance
+from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.daemon.settings import SETTINGS, Settings, load_settings
 from persimmonspur.errors import ANSWERS, ErrorKind
 from persimmonspur.peers.transport import NngTransport
@@ -34,6 +36,8 @@
 STALL_PROBE_MS = 50.0
 STALL_REPORT_MS = 100.0
 LEAVE_MARGIN_MS = 1_000.0
+CONNECTION_WAIT_MS = 1_000.0
+POLL_MS = 10.0
 
 # Imported so that their parts register themselves.
 _REGISTERED = (cell, configuration, endpoints, queries, standard)
@@ -82,13 +86,16 @@
     """
     configure_logging(settings)
     instance = build_instance(settings)
+    stopping, hastened = install_signal_handlers()
     try:
-        server = serve(instance)
-    except OSError as error:
-        logger.error("cannot listen: {}", error)
-        return 1
-    wait_for_stop(instance)
-    stop(instance, server)
+        surface = HttpSurface(instance)
+        server = serve(instance, surface)
+    except (OSError, NNGException) as error:
+        instance.timeline.record(events.LISTEN_FAILED, reason=str(error))
+        return ANSWERS[ErrorKind.INVALID_SETTINGS].exit_code
+    stopping.wait()
+    leave(instance, hastened)
+    stop(instance, server, surface)
     return 0
 
 
@@ -107,7 +114,7 @@
     return Instance(settings, clock, incarnation, object_api, object_api, endpoint_calls)
 
 
-def serve(instance: Instance) -> NoDelayServer:
+def serve(instance: Instance, surface: HttpSurface) -> NoDelayServer:
     """Bind the addresses and start all controllers.
 
     :raises OSError: if an address is taken.
@@ -121,22 +128,23 @@
         instance.attach(controllers[name])
     instance.set_controllers(controllers)
     host, _, port = settings.caller_address.rpartition(":")
-    server = NoDelayServer((host, int(port)), HttpSurface(instance), log=None, error_log=None)
+    server = NoDelayServer((host, int(port)), surface, log=None, error_log=None)
     server.start()
     transport.start()
     for controller in controllers.values():
         controller.start()
     gevent.spawn(_measure_stalls, instance)
+    instance.phase = Phase.SERVING
     instance.timeline.record(
         events.STARTED, instance=settings.instance, address=settings.caller_address
     )
     return server
 
 
-def wait_for_stop(instance: Instance) -> None:
-    """Wait for SIGTERM and then until callers have forgotten this instance.
+def install_signal_handlers() -> tuple[Event, Event]:
+    """Handle SIGTERM and SIGINT.
 
-    A second signal skips the wait.
+    :returns: an event set by the first signal, and one set by the second.
     """
     stopping = Event()
     hastened = Event()
@@ -148,25 +156,42 @@
 
     gevent.signal_handler(signal.SIGTERM, handle_signal)
     gevent.signal_handler(signal.SIGINT, handle_signal)
-    stopping.wait()
+    return stopping, hastened
+
+
+def leave(instance: Instance, hastened: Event) -> None:
+    """Announce that the instance leaves and serve until callers have forgotten it.
+
+    :param hastened: ends the wait early.
+    """
+    instance.phase = Phase.LEAVING
     instance.timeline.record(events.STOPPING, instance=instance.settings.instance)
-    now_ms = instance.clock.now_ms()
-    instance.cells.execute(instance.cell.begin_leaving(now_ms))
+    instance.cells.execute(instance.cell.begin_leaving(instance.clock.now_ms()))
     hastened.wait((KEEP_MS + LEAVE_MARGIN_MS) / 1000)
 
 
-def stop(instance: Instance, server: NoDelayServer) -> None:
-    """Stop taking queries, finish those that run, and close everything."""
-    instance.leaving = True
-    while instance.queries.running or instance.endpoints.busy:
-        gevent.sleep(0.02)
+def stop(instance: Instance, server: NoDelayServer, surface: HttpSurface) -> None:
+    """Reject new queries, finish those that run, and close everything."""
+    instance.phase = Phase.STOPPING
+    while surface.unfinished or instance.queries.running or instance.endpoints.busy:
+        gevent.sleep(POLL_MS / 1000)
+    server.stop()
+    _wait_for_connections(instance, server, surface)
     for controller in instance.controllers.values():
         controller.stop()
-    server.stop(timeout=1)
     instance.transport.close()
     instance.timeline.record(events.STOPPED, instance=instance.settings.instance)
 
 
+def _wait_for_connections(instance: Instance, server: NoDelayServer, surface: HttpSurface) -> None:
+    """Let callers with open connections read a rejection instead of a broken connection."""
+    deadline_ms = instance.clock.now_ms() + CONNECTION_WAIT_MS
+    while surface.unfinished or server.open_connections:
+        if instance.clock.now_ms() > deadline_ms and not surface.unfinished:
+            return
+        gevent.sleep(POLL_MS / 1000)
+
+
 def _write_log_line(message: "Message") -> None:
     record = message.record
     document = {
