Turn every failure of the HTTP client into an outcome

Cause: a connection that the server closes without a response raises HTTPConnectionClosed, which is neither an OSError nor a ValueError, so the endpoint calls, the object API and the client library raised although their contract says that they never do.

The errors are now listed once, as HTTP_ERRORS.

Ruled out: catching Exception, which would also hide programming errors.

--- a/src/persimmonspur/adapters/endpoints.py
+++ b/src/persimmonspur/adapters/endpoints.py
@@ -7,7 +7,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketResponse
 
-from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.clock import Clock
 from persimmonspur.errors import ErrorKind, Ran
 from persimmonspur.model.configuration import Configuration, Endpoint, Limits
@@ -68,7 +68,7 @@
             return self._build_error(
                 ErrorKind.UNREACHABLE, repr(error), started_ms, reset=True, ran=Ran.NO
             )
-        except (OSError, ValueError, RuntimeError) as error:
+        except HTTP_ERRORS as error:
             return self._build_error(ErrorKind.UNREACHABLE, repr(error), started_ms, reset=True)
         return self._parse(response, data, started_ms)
 
@@ -99,7 +99,7 @@
             with gevent.Timeout(timeout_ms / 1000):
                 response = self._find_client(endpoint).request(method, path, headers=headers)
                 response.read()
-        except (gevent.Timeout, OSError, ValueError, RuntimeError):
+        except (gevent.Timeout, *HTTP_ERRORS):
             return None
         return response
 
--- a/src/persimmonspur/adapters/http.py
+++ b/src/persimmonspur/adapters/http.py
@@ -1,6 +1,7 @@
 """HTTP clients and servers with the socket options that low latency needs."""
 
 from collections.abc import Callable
+from http.client import HTTPException
 from typing import Any
 
 import gevent
@@ -10,6 +11,10 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 
+# What the HTTP client raises when a call fails: sockets, broken or unreadable
+# responses, invalid URLs and a closed pool.
+HTTP_ERRORS = (OSError, HTTPException, ValueError, RuntimeError)
+
 
 class NoDelayPool(ConnectionPool):
     """Connections without Nagle's algorithm, counted.
--- a/src/persimmonspur/adapters/objectapi.py
+++ b/src/persimmonspur/adapters/objectapi.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 from geventhttpclient import HTTPClient
 
-from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.errors import ErrorKind, Failure, Ran
 from persimmonspur.ports import InstanceListing, ListedState, StoredObject
 
@@ -87,7 +87,7 @@
                 data = bytes(response.read())
                 version = int(str(response.get("x-version", "0")))
                 return Ok((response.status_code, version, data))
-        except (OSError, gevent.Timeout, ValueError, RuntimeError) as error:
+        except (gevent.Timeout, *HTTP_ERRORS) as error:
             return Error(
                 Failure.of(ErrorKind.STORE_UNAVAILABLE, f"object API: {method} {path}: {error!r}")
             )
--- a/src/persimmonspur/client/client.py
+++ b/src/persimmonspur/client/client.py
@@ -9,7 +9,7 @@
 from attrs import field, frozen
 from geventhttpclient import HTTPClient
 
-from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.clock import Clock
 from persimmonspur.errors import ErrorKind, Ran
 
@@ -142,7 +142,7 @@
             with gevent.Timeout(timeout_ms / 1000):
                 response = self._find_client(address).get(path)
                 return msgspec.json.decode(bytes(response.read()))
-        except (gevent.Timeout, OSError, ValueError, RuntimeError):
+        except (gevent.Timeout, *HTTP_ERRORS):
             return None
 
     def _post_query(
@@ -157,7 +157,7 @@
                 data = msgspec.json.decode(bytes(response.read()))
         except ConnectionRefusedError as error:
             return _build_unreachable(request_id, error, Ran.NO, attempts)
-        except (gevent.Timeout, OSError, ValueError, RuntimeError) as error:
+        except (gevent.Timeout, *HTTP_ERRORS) as error:
             return _build_unreachable(request_id, error, Ran.UNKNOWN, attempts)
         return _parse_answer(request_id, response.status_code, data, attempts)
 
--- a/src/persimmonspur/load/processes.py
+++ b/src/persimmonspur/load/processes.py
@@ -14,7 +14,7 @@
 import msgspec
 from attrs import define, field
 
-from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.adapters.objectapi import HttpObjectApi
 from persimmonspur.core.configuration.document import RootDocument, encode_root
 from persimmonspur.core.configuration.holder import ROOT_KEY
@@ -202,7 +202,7 @@
     client = connect_client(address, 1, 2_000.0)
     try:
         return json.loads(bytes(client.get(path).read()))
-    except (OSError, ValueError, RuntimeError):
+    except HTTP_ERRORS:
         return None
     finally:
         client.close()
