--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,11 @@
 	$(BIN)/persimmonspur demo
 
 check: setup
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests examples
+	$(BIN)/ruff check src tests examples
 	$(BIN)/mypy
 	$(BIN)/python -m pytest
 
 format: setup
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests examples
+	$(BIN)/ruff check --fix src tests examples
--- /dev/null
+++ b/src/persimmonspur/reference/__init__.py
@@ -0,0 +1,1 @@
+"""Reference pages that are written from the code."""
--- /dev/null
+++ b/tests/docs/test_embedding.py
@@ -0,0 +1,12 @@
+"""Guards against an embedding example that no longer runs."""
+
+import runpy
+from pathlib import Path
+
+EXAMPLE = Path(__file__).parents[2] / "examples" / "embedding.py"
+
+
+def test_embedding_example_answers_every_request(capsys):
+    program = runpy.run_path(str(EXAMPLE))
+    assert program["main"]() == 5
+    assert capsys.readouterr().out.count("'score': 1") == 5
