Answer oversized, unreadable and failing requests clearly

Cause: a body of any size was read, an unexpected exception closed the connection without an answer, and a bad 'after' raised. Each now gets one line that names the field, the value and what is allowed; an unexpected error is answered with 'ran: unknown' and logged as PS1006.

Ruled out: answering unexpected errors with 'ran: no', since sub-requests may have been sent before the error.

--- a/src/persimmonspur/daemon/events.py
+++ b/src/persimmonspur/daemon/events.py
@@ -45,6 +45,9 @@
 LISTEN_FAILED = define_event(
     1005, "listen_failed", "ERROR", "cannot listen on an address of the settings: {reason}"
 )
+REQUEST_FAILED = define_event(
+    1006, "request_failed", "ERROR", "the request {path} failed unexpectedly: {reason}"
+)
 TABLE_ADOPTED = define_event(2001, "table_adopted", "INFO", "adopted cell table {version}")
 TABLE_WRITTEN = define_event(2002, "table_written", "INFO", "wrote cell table {version}")
 TABLE_CONFLICT = define_event(
--- a/src/persimmonspur/daemon/http.py
+++ b/src/persimmonspur/daemon/http.py
@@ -9,6 +9,7 @@
 from prometheus_client import generate_latest
 
 from persimmonspur.adapters.http import StartResponse, read_body, respond_json
+from persimmonspur.daemon import events
 from persimmonspur.daemon.filters.chain import RequestContext, run_chain
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.daemon.lifecycle import Phase
@@ -61,13 +62,20 @@
 
     def _route(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         name = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+        length = environ.get("CONTENT_LENGTH") or "0"
+        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+            message = f"content-length: {length}; allowed: at most {MAX_BODY_BYTES} bytes"
+            return _respond_invalid(_close_connection(start_response), message)
         if name not in ROUTES:
             read_body(environ)
             known = ", ".join(ROUTES)
-            return respond_json(
-                start_response, 404, {"message": f"path: {name!r}; allowed: {known}"}
-            )
-        return ROUTES.get(name)(self._instance, environ, start_response)
+            return _respond_invalid(start_response, f"path: {name!r}; allowed: {known}")
+        try:
+            return ROUTES.get(name)(self._instance, environ, start_response)
+        except Exception as error:
+            self._instance.timeline.record(events.REQUEST_FAILED, path=name, reason=repr(error))
+            failure = Failure.of(ErrorKind.INTERNAL, "internal error; see event PS1006 in the log")
+            return _respond_failure(start_response, failure)
 
 
 @ROUTES.register("POST /v1/query")
@@ -146,8 +154,10 @@
     """Return the events of this process."""
     query = parse_qs(environ.get("QUERY_STRING", ""))
     request_id = query.get("request_id", [""])[0]
-    after = int(query.get("after", ["0"])[0])
-    entries = instance.timeline.list_entries(request_id, after)
+    after = query.get("after", ["0"])[0]
+    if not after.isdigit():
+        return _respond_invalid(start_response, f"after: {after!r}; allowed: a whole number")
+    entries = instance.timeline.list_entries(request_id, int(after))
     return respond_json(start_response, 200, {"entries": entries})
 
 
@@ -222,6 +232,9 @@
 
 
 def _respond_invalid(start_response: StartResponse, message: str) -> list[bytes]:
-    failure = Failure.of(ErrorKind.INVALID_REQUEST, message)
+    return _respond_failure(start_response, Failure.of(ErrorKind.INVALID_REQUEST, message))
+
+
+def _respond_failure(start_response: StartResponse, failure: Failure) -> list[bytes]:
     document = {"error": failure.kind, "message": failure.message, "ran": failure.ran}
     return respond_json(start_response, ANSWERS[failure.kind].status, document)
--- /dev/null
+++ b/tests/daemon/test_http.py
@@ -0,0 +1,87 @@
+"""Guards against unclear rejections, false `ran` labels and uncounted responses."""
+
+import io
+import json
+
+import pytest
+
+from fakes import build_instance
+from persimmonspur.daemon.filters import standard  # noqa: F401
+from persimmonspur.daemon.http import MAX_BODY_BYTES, HttpSurface
+from persimmonspur.daemon.lifecycle import Phase
+
+QUERY = {"service": "shopdesk", "class": "counter", "timeout_ms": 100, "request_id": "r1"}
+
+
+def call(surface, method, path, body=b"", query="", length=None):
+    seen = {}
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "QUERY_STRING": query,
+        "CONTENT_LENGTH": str(len(body)) if length is None else length,
+        "wsgi.input": io.BytesIO(body),
+    }
+
+    def start(status, headers):
+        seen.update(status=int(status[:3]), headers=dict(headers))
+
+    result = surface(environ, start)
+    seen["body"] = b"".join(result)
+    seen["unfinished"] = surface.unfinished
+    result.close()
+    return seen
+
+
+@pytest.mark.parametrize(
+    ("change", "message"),
+    [
+        ({"timeout_ms": 0}, "timeout_ms: 0.0; allowed: above 0"),
+        ({"timeout_ms": "soon"}, "$.timeout_ms"),
+        ({"request_id": ""}, "request_id: ''; allowed: 1 to 128"),
+        ({"key": 70_000}, "key: 70000; allowed: 0 to 65535"),
+        ({"limit": 0}, "limit: 0; allowed: 1 or more"),
+        ({"colour": 1}, "colour"),
+    ],
+)
+def test_bad_body_names_field_value_and_what_is_allowed(change, message):
+    surface = HttpSurface(build_instance())
+    seen = call(surface, "POST", "/v1/query", json.dumps({**QUERY, **change}).encode())
+    answer = json.loads(seen["body"])
+    assert seen["status"] == 400
+    assert (answer["error"], answer["ran"]) == ("invalid_request", "no")
+    assert message in answer["message"]
+
+
+def test_oversized_body_is_rejected_without_reading_it():
+    length = str(MAX_BODY_BYTES + 1)
+    seen = call(HttpSurface(build_instance()), "POST", "/v1/query", length=length)
+    assert seen["status"] == 400
+    assert seen["headers"]["connection"] == "close"
+
+
+def test_query_before_the_first_configuration_did_not_run():
+    seen = call(HttpSurface(build_instance()), "POST", "/v1/query", json.dumps(QUERY).encode())
+    assert seen["status"] == 503
+    assert json.loads(seen["body"])["ran"] == "no"
+
+
+def test_unexpected_error_is_answered_with_ran_unknown():
+    instance = build_instance()
+    instance.cell = None
+    seen = call(HttpSurface(instance), "GET", "/v1/resolve")
+    assert seen["status"] == 500
+    assert json.loads(seen["body"])["ran"] == "unknown"
+
+
+def test_response_counts_until_the_server_has_written_it():
+    surface = HttpSurface(build_instance())
+    assert call(surface, "GET", "/healthz")["unfinished"] == 1
+    assert surface.unfinished == 0
+
+
+def test_leaving_instance_makes_callers_drop_their_connections():
+    instance = build_instance()
+    assert "connection" not in call(HttpSurface(instance), "GET", "/healthz")["headers"]
+    instance.phase = Phase.LEAVING
+    assert call(HttpSurface(instance), "GET", "/healthz")["headers"]["connection"] == "close"
