--- a/src/persimmonspur/daemon/http.py
+++ b/src/persimmonspur/daemon/http.py
@@ -1,6 +1,6 @@
 """HTTP surface for callers and operators."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 from typing import Any
 from urllib.parse import parse_qs
@@ -9,8 +9,10 @@
 from prometheus_client import generate_latest
 
 from persimmonspur.adapters.http import StartResponse, read_body, respond_json
+from persimmonspur.daemon import events
 from persimmonspur.daemon.filters.chain import RequestContext, run_chain
 from persimmonspur.daemon.instance import Instance
+from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.errors import ANSWERS, ErrorKind, Failure
 from persimmonspur.model.configuration import KEY_SPACE_UNITS
 from persimmonspur.model.query import Query, QueryAnswer
@@ -44,17 +46,36 @@
 
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
-
-    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
-        """Answer one HTTP request."""
+        self.unfinished = 0
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one HTTP request and count it until its response has been written."""
+        self.unfinished += 1
+        try:
+            if self._instance.phase >= Phase.LEAVING:
+                start_response = _close_connection(start_response)
+            parts = self._route(environ, start_response)
+        except BaseException:
+            self.unfinished -= 1
+            raise
+        return _CountedBody(parts, self)
+
+    def _route(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         name = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+        length = environ.get("CONTENT_LENGTH") or "0"
+        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+            message = f"content-length: {length}; allowed: at most {MAX_BODY_BYTES} bytes"
+            return _respond_invalid(_close_connection(start_response), message)
         if name not in ROUTES:
             read_body(environ)
             known = ", ".join(ROUTES)
-            return respond_json(
-                start_response, 404, {"message": f"path: {name!r}; allowed: {known}"}
-            )
-        return ROUTES.get(name)(self._instance, environ, start_response)
+            return _respond_invalid(start_response, f"path: {name!r}; allowed: {known}")
+        try:
+            return ROUTES.get(name)(self._instance, environ, start_response)
+        except Exception as error:
+            self._instance.timeline.record(events.REQUEST_FAILED, path=name, reason=repr(error))
+            failure = Failure.of(ErrorKind.INTERNAL, "internal error; see event PS1006 in the log")
+            return _respond_failure(start_response, failure)
 
 
 @ROUTES.register("POST /v1/query")
@@ -133,8 +154,10 @@
     """Return the events of this process."""
     query = parse_qs(environ.get("QUERY_STRING", ""))
     request_id = query.get("request_id", [""])[0]
-    after = int(query.get("after", ["0"])[0])
-    entries = instance.timeline.list_entries(request_id, after)
+    after = query.get("after", ["0"])[0]
+    if not after.isdigit():
+        return _respond_invalid(start_response, f"after: {after!r}; allowed: a whole number")
+    entries = instance.timeline.list_entries(request_id, int(after))
     return respond_json(start_response, 200, {"entries": entries})
 
 
@@ -169,6 +192,33 @@
     return ANSWERS[failure.kind].status, document
 
 
+class _CountedBody:
+    """A response body that tells the surface when the server has written it."""
+
+    def __init__(self, parts: list[bytes], surface: HttpSurface) -> None:
+        self._parts = parts
+        self._surface = surface
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._parts)
+
+    def __len__(self) -> int:
+        return len(self._parts)
+
+    def close(self) -> None:
+        """Take the response off the count; the server calls this even if the caller is gone."""
+        self._surface.unfinished -= 1
+
+
+def _close_connection(start_response: StartResponse) -> StartResponse:
+    """Make callers drop kept connections while the instance leaves."""
+
+    def start(status: str, headers: list[tuple[str, str]]) -> Any:
+        return start_response(status, [*headers, ("connection", "close")])
+
+    return start
+
+
 def _find_fault(document: QueryDocument) -> str:
     if not 0 < document.timeout_ms <= MAX_TIMEOUT_MS:
         return f"timeout_ms: {document.timeout_ms}; allowed: above 0 and at most {MAX_TIMEOUT_MS}"
@@ -182,6 +232,9 @@
 
 
 def _respond_invalid(start_response: StartResponse, message: str) -> list[bytes]:
-    failure = Failure.of(ErrorKind.INVALID_REQUEST, message)
+    return _respond_failure(start_response, Failure.of(ErrorKind.INVALID_REQUEST, message))
+
+
+def _respond_failure(start_response: StartResponse, failure: Failure) -> list[bytes]:
     document = {"error": failure.kind, "message": failure.message, "ran": failure.ran}
     return respond_json(start_response, ANSWERS[failure.kind].status, document)
