Compare all records in the test of partial answers

Guard against an answer that hides a missing shard: with only the ten best records such a shard may hold none of them, so the test compared equal answers. It now asks for all records.

--- a/tests/load/test_judge.py
+++ b/tests/load/test_judge.py
@@ -40,15 +40,16 @@
 
 
 def test_a_partial_answer_must_state_its_coverage_and_hold_its_records(judge):
+    # All records, so that a missing shard always shows.
     first = judge.shard_maps[SERVICE][1].shards[0]
-    records = list_records(SERVICE, 1, first.stop, KEY_SPACE_UNITS, 10)
+    records = list_records(SERVICE, 1, first.stop, KEY_SPACE_UNITS, 256)
     covered = KEY_SPACE_UNITS - first.units
     honest = build_answer(records, covered, (first.name,))
-    assert judge.check(SERVICE, honest, None, 10) is Verdict.PARTIAL
+    assert judge.check(SERVICE, honest, None, 256) is Verdict.PARTIAL
     silent = build_answer(records, KEY_SPACE_UNITS, ())
-    assert judge.check(SERVICE, silent, None, 10) is Verdict.WRONG
+    assert judge.check(SERVICE, silent, None, 256) is Verdict.WRONG
     overstated = build_answer(records, KEY_SPACE_UNITS, (first.name,))
-    assert judge.check(SERVICE, overstated, None, 10) is Verdict.WRONG
+    assert judge.check(SERVICE, overstated, None, 256) is Verdict.WRONG
 
 
 def test_a_single_key_query_needs_one_shard(judge):
