--- /dev/null
+++ b/src/persimmonspur/capacity/fakes.py
@@ -0,0 +1,165 @@
+"""Parts that measurements share: configurations, a cell without sockets, and port fakes."""
+
+from collections import deque
+from typing import Any
+
+import msgspec
+from attrs import define, field
+
+from persimmonspur.core.ownership.actions import (
+    CellAction,
+    FetchTableFrom,
+    ReadTable,
+    SendHeartbeat,
+    WriteTable,
+)
+from persimmonspur.core.ownership.cell import Cell
+from persimmonspur.core.ownership.table import CellTable, decode_table, encode_table
+from persimmonspur.load.deployment import (
+    DEPLOYMENTS,
+    DeploymentShape,
+    ServiceShape,
+    build_configuration,
+)
+from persimmonspur.model.configuration import Configuration
+from persimmonspur.model.member import Member
+from persimmonspur.model.messages import Envelope, Heartbeat
+from persimmonspur.model.query import SnapshotId
+
+SNAPSHOT = SnapshotId(1, 1)
+STEP_MS = 100.0
+# Simulated time within which all members must have joined.
+JOIN_LIMIT_MS = 900_000.0
+
+
+def build_sized(endpoints: int, services: int = 4) -> Configuration:
+    """Build a configuration of a given size.
+
+    :param endpoints: in total; a multiple of the services.
+    """
+    each = endpoints // services
+    shapes = tuple(ServiceShape(f"service-{i}", each, 4, 75, 6.0) for i in range(services))
+    domains = DEPLOYMENTS["ulaanbaatar"].failure_domains
+    return build_configuration(DeploymentShape("measured", domains, 0.5, shapes))
+
+
+@define
+class CellNetwork:
+    """Members of a cell that exchange encoded messages without sockets.
+
+    It runs on simulated time, so that joining costs only processor time.
+    """
+
+    cells: list[Cell]
+    now_ms: float = 1_000.0
+    heartbeats: int = 0
+    heartbeat_bytes: int = 0
+    _stored: tuple[int, bytes] = (0, b"")
+    _queue: deque[tuple[Cell, CellAction]] = field(factory=deque)
+    _encoder: msgspec.msgpack.Encoder = field(factory=msgspec.msgpack.Encoder)
+    _decoder: Any = field(factory=lambda: msgspec.msgpack.Decoder(Envelope))
+
+    def join(self, configuration: Configuration) -> None:
+        """Let every cell join.
+
+        :raises RuntimeError: if they do not all know each other in time.
+        """
+        for cell in self.cells:
+            self._take(cell, cell.configure(configuration, self.now_ms))
+        while not self._is_joined():
+            if self.now_ms > JOIN_LIMIT_MS:
+                raise RuntimeError(f"{len(self.cells)} members did not join in simulated time")
+            self.step()
+
+    def step(self) -> None:
+        """Advance the time by one tick of the daemon and deliver every message."""
+        self.now_ms += STEP_MS
+        for cell in self.cells:
+            self._take(cell, cell.tick(self.now_ms))
+
+    def run_round(self) -> None:
+        """Advance by one heartbeat interval."""
+        for _ in range(int(1_000.0 / STEP_MS)):
+            self.step()
+
+    def _is_joined(self) -> bool:
+        for cell in self.cells:
+            if cell.table is None or len(cell.table.members) < len(self.cells):
+                return False
+            if any(member.weight <= 0 for member in cell.table.members.values()):
+                return False
+        return True
+
+    def _take(self, cell: Cell, actions: list[CellAction]) -> None:
+        self._queue.extend((cell, action) for action in actions)
+        while self._queue:
+            self._execute(*self._queue.popleft())
+
+    def _execute(self, cell: Cell, action: CellAction) -> None:
+        match action:
+            case SendHeartbeat():
+                self._deliver(cell, action.receiver, action.heartbeat)
+            case ReadTable():
+                version, value = self._stored
+                table = decode_table(value) if version else None
+                self._queue_all(cell, cell.observe_read(table, version, self.now_ms, self.now_ms))
+            case WriteTable():
+                self._write(cell, action.table, action.expected_version)
+            case FetchTableFrom():
+                peer = self._find(action.peer)
+                if peer is not None and peer.table is not None:
+                    table = decode_table(encode_table(peer.table))
+                    self._queue_all(cell, cell.observe_table(table, self.now_ms))
+
+    def _write(self, cell: Cell, table: CellTable, expected_version: int) -> None:
+        stored_version = None
+        if expected_version == self._stored[0]:
+            stored_version = expected_version + 1
+            self._stored = (stored_version, encode_table(table))
+        self._queue_all(cell, cell.observe_write(table.attempt, stored_version, self.now_ms))
+        if stored_version is not None:
+            self._queue_all(cell, cell.observe_table(table, self.now_ms))
+
+    def _deliver(self, cell: Cell, receiver: str, heartbeat: Heartbeat) -> None:
+        member = cell.member
+        envelope = Envelope(
+            member.name, member.incarnation, self.now_ms, cell.table_version, 1, heartbeat
+        )
+        data = self._encoder.encode(envelope)
+        self.heartbeats += 1
+        self.heartbeat_bytes += len(data)
+        peer = self._find(receiver)
+        if peer is None:
+            return
+        read = self._decoder.decode(data)
+        actions = peer.observe_heartbeat(
+            read.sender, read.incarnation, read.table_version, read.body, self.now_ms
+        )
+        self._queue_all(peer, actions)
+
+    def _queue_all(self, cell: Cell, actions: list[CellAction]) -> None:
+        self._queue.extend((cell, action) for action in actions)
+
+    def _find(self, name: str) -> Cell | None:
+        for cell in self.cells:
+            if cell.member.name == name:
+                return cell
+        return None
+
+
+def build_network(members: int, configuration: Configuration) -> CellNetwork:
+    """Build a cell whose members have all joined."""
+    domains = [domain.name for domain in configuration.failure_domains]
+    cells = []
+    for index in range(members):
+        member = Member(
+            f"entry-{index}",
+            1_000 + index,
+            f"tcp://10.0.0.{index}:7401",
+            f"10.0.0.{index}:7400",
+            domains[index % len(domains)],
+        )
+        cells.append(Cell("main", member))
+    network = CellNetwork(cells)
+    network.join(configuration)
+    return network
--- /dev/null
+++ b/src/persimmonspur/capacity/loopback.py
@@ -0,0 +1,70 @@
+"""Processor time of daemons on loopback against the rate of sub-requests."""
+
+import os
+from pathlib import Path
+
+from attrs import evolve
+
+from persimmonspur.capacity.record import MEASURES, Point, Series, build_series
+from persimmonspur.clock import Clock
+from persimmonspur.load.deployment import DEPLOYMENTS
+from persimmonspur.load.experiment import Options, build_plans, send_load
+from persimmonspur.load.judge import Judge
+from persimmonspur.load.processes import Processes, start_deployment
+from persimmonspur.load.workload import Flow
+
+INSTANCES = 4
+RATES = (10.0, 30.0, 60.0, 90.0)
+SECONDS = 4.0
+WARMUP_S = 1.0
+
+
+@MEASURES.register("loopback")
+def measure_loopback() -> list[Series]:
+    """Measure all daemons of a deployment together, in real processes with real searchers.
+
+    The slope is the processor time of one sub-request at coordinator and owner
+    with all input and output; the intercept is what idle daemons need.
+    """
+    deployment = DEPLOYMENTS["ulaanbaatar"]
+    options = Options(deployment, INSTANCES, SECONDS, WARMUP_S, 1)
+    # The service with the most shards, so that sub-requests and not callers prevail.
+    flow = Flow(deployment.services[1].name, "interactive", 1.0, 2_000.0, 4.0, 10)
+    processes = start_deployment(deployment, INSTANCES)
+    judge = Judge.of(processes.configuration)
+    clock = Clock()
+    points = []
+    try:
+        for index, rate in enumerate(RATES):
+            flows = {"load": evolve(flow, rate=rate)}
+            plans = build_plans(processes.list_addresses(), flows, options, index + 1, judge)
+            before = sum(seen["requests"] for seen in processes.read_counts().values())
+            started_ms = clock.now_ms()
+            started_cpu_s = read_cpu_s(processes)
+            send_load(processes, plans, [])
+            cpu_s = read_cpu_s(processes) - started_cpu_s
+            elapsed_s = (clock.now_ms() - started_ms) / 1000
+            after = sum(seen["requests"] for seen in processes.read_counts().values())
+            points.append(Point((after - before) / elapsed_s, 1e6 * cpu_s / elapsed_s))
+    finally:
+        processes.kill()
+    return [
+        build_series(
+            "loopback_cpu",
+            "sub-requests per second",
+            f"processor µs per second of {INSTANCES} daemons",
+            points,
+        )
+    ]
+
+
+def read_cpu_s(processes: Processes) -> float:
+    """Return the processor seconds that all daemons have used since their start."""
+    ticks = os.sysconf("SC_CLK_TCK")
+    total = 0.0
+    for daemon in processes.daemons.values():
+        text = Path(f"/proc/{daemon.process.pid}/stat").read_text()
+        # The name in parentheses may hold spaces; user and system time follow as 12th and 13th.
+        fields = text.rpartition(")")[2].split()
+        total += (int(fields[11]) + int(fields[12])) / ticks
+    return total
--- /dev/null
+++ b/src/persimmonspur/capacity/requests.py
@@ -0,0 +1,199 @@
+"""Processor time of sub-requests at the coordinator, at the owner and on the wire."""
+
+import time
+from random import Random
+from typing import Any
+
+import gevent
+import msgspec
+
+from persimmonspur.capacity.configurations import build_view
+from persimmonspur.capacity.record import MEASURES, Point, Series, build_series, time_call
+from persimmonspur.core.endpoints.actions import Dispatch
+from persimmonspur.core.endpoints.gate import EndpointGate
+from persimmonspur.core.requests.actions import SendSubRequest
+from persimmonspur.core.requests.coordination import Coordination, CoordinationContext
+from persimmonspur.errors import Ran
+from persimmonspur.load.deployment import (
+    DEPLOYMENTS,
+    DeploymentShape,
+    ServiceShape,
+    build_configuration,
+)
+from persimmonspur.load.processes import find_free_address
+from persimmonspur.model.configuration import Endpoint, Limits
+from persimmonspur.model.messages import Envelope, SubReplies, SubReply, SubRequest, SubRequests
+from persimmonspur.model.outcome import EndpointOutcome, EndpointReport
+from persimmonspur.model.query import Query, SnapshotId
+from persimmonspur.peers.transport import NngTransport
+from persimmonspur.standins.dataset import list_records
+
+SHARDS = (4, 16, 32, 62)
+BATCHES = (1, 4, 16, 62)
+GATE_ITEMS = (4, 16, 32, 62)
+MESSAGES = 400
+RECORDS = list_records("measured", 1, 0, 4_096, 10)
+SNAPSHOT = SnapshotId(1, 1)
+REPORT = EndpointReport("measured-1", "warm", 0.25, (SNAPSHOT,))
+
+
+@MEASURES.register("coordinator")
+def measure_coordinator() -> list[Series]:
+    """Measure a query at its coordinator, with messages encoded and decoded per owner."""
+    points = [Point(shards, time_call(_CoordinatorRun(shards).run)) for shards in SHARDS]
+    return [build_series("coordinator_cpu", "shards", "processor µs per query", points)]
+
+
+@MEASURES.register("owner")
+def measure_owner() -> list[Series]:
+    """Measure a batch at the owner without the call to the endpoint."""
+    points = [Point(items, time_call(_OwnerRun(items).run)) for items in GATE_ITEMS]
+    return [build_series("owner_cpu", "sub-requests", "processor µs per batch", points)]
+
+
+@MEASURES.register("batching")
+def measure_batching() -> list[Series]:
+    """Measure messages between two sockets of one process, both ends together."""
+    points = [Point(size, _measure_messages(size)) for size in BATCHES]
+    return [build_series("message_cpu", "sub-requests in a message", "processor µs", points)]
+
+
+class _CoordinatorRun:
+    """Runs one query of a service with a given number of shards."""
+
+    def __init__(self, shards: int) -> None:
+        shape = ServiceShape("measured", shards * 3, 4, 75, 6.0)
+        domains = DEPLOYMENTS["ulaanbaatar"].failure_domains
+        deployment = DeploymentShape("measured", domains, 0.5, (shape,))
+        view = build_view(build_configuration(deployment))
+        self._context = CoordinationContext(view, domains[0], Random(1))
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._time_ms = 1_000.0
+
+    def run(self) -> None:
+        """Run the query to its answer."""
+        self._time_ms += 1.0
+        query = Query("measured", "counter", 1_000.0, "request", limit=10)
+        coordination = Coordination(query, 0, self._context, self._time_ms)
+        batches: dict[str, list[SubRequest]] = {}
+        for action in coordination.start(self._time_ms):
+            if isinstance(action, SendSubRequest):
+                batches.setdefault(action.owner, []).append(action.request)
+        for owner, items in batches.items():
+            self._encoder.encode(_wrap(owner, SubRequests(items)))
+            # The owner's encoding belongs to the owner; it is repeated here to
+            # have bytes to decode and is part of the figure.
+            reply = self._encoder.encode(_wrap(owner, SubReplies([_reply(i) for i in items])))
+            body: Any = self._decoder.decode(reply).body
+            for item in body.items:
+                coordination.observe_reply(item, self._time_ms + 5.0)
+        if not coordination.finished:
+            raise RuntimeError("the measured query did not finish")
+
+
+class _OwnerRun:
+    """Takes a batch of sub-requests, one endpoint each."""
+
+    def __init__(self, items: int) -> None:
+        self._gates = []
+        self._requests = []
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._turn = 0
+        for index in range(items):
+            name = f"endpoint-{index}"
+            endpoint = Endpoint(name, "measured", "10.0.0.1:80", "here", (f"shard-{index}",))
+            gate = EndpointGate(endpoint, Limits(4, 75, 6.0), 10.0)
+            gate.extend(1e12, 1_000.0)
+            gate.observe_report(REPORT, 1_000.0)
+            self._gates.append(gate)
+            self._requests.append(_build_request(index))
+        self._batch = self._encoder.encode(_wrap("entry-0", SubRequests(self._requests)))
+
+    def run(self) -> None:
+        """Decode the batch, pass every gate and encode the replies."""
+        self._turn += 1
+        now_ms = 1_000.0 + self._turn
+        replies: list[SubReply] = []
+        body: Any = self._decoder.decode(self._batch).body
+        for gate, request in zip(self._gates, body.items, strict=True):
+            for action in gate.offer(request, now_ms):
+                if not isinstance(action, Dispatch):
+                    continue
+                outcome = EndpointOutcome(None, "", Ran.YES, RECORDS, SNAPSHOT, REPORT, 5.0)
+                for done in gate.complete(request.id, outcome, now_ms):
+                    reply = getattr(done, "reply", None)
+                    if reply is not None:
+                        replies.append(reply)
+        if len(replies) != len(self._gates):
+            raise RuntimeError("the measured gates did not answer every sub-request")
+        self._encoder.encode(_wrap("entry-0", SubReplies(replies)))
+
+
+def _measure_messages(size: int) -> float:
+    received: list[Any] = []
+    address = f"tcp://{find_free_address()}"
+    receiver = NngTransport(address, received.append)
+    sender = NngTransport(f"tcp://{find_free_address()}", received.append)
+    receiver.start()
+    sender.connect("receiver", address)
+    batch = _wrap("sender", SubRequests([_build_request(index) for index in range(size)]))
+    try:
+        _send_all(sender, batch, received, 20)
+        started_ns = time.process_time_ns()
+        _send_all(sender, batch, received, MESSAGES)
+        return (time.process_time_ns() - started_ns) / 1000 / MESSAGES
+    finally:
+        sender.close()
+        receiver.close()
+
+
+def _send_all(sender: NngTransport, batch: Envelope, received: list[Any], count: int) -> None:
+    received.clear()
+    sent = 0
+    while sent < count:
+        # In turns, so that neither buffer overflows.
+        while sent < count and sent - len(received) < 16 and sender.send("receiver", batch):
+            sent += 1
+        gevent.sleep(0.0005)
+    while len(received) < count:
+        gevent.sleep(0.0005)
+
+
+def _wrap(name: str, body: SubRequests | SubReplies) -> Envelope:
+    return Envelope(name, 1, 1_000.0, 1, 1, body)
+
+
+def _build_request(index: int) -> SubRequest:
+    return SubRequest(
+        f"request/shard-{index}/{index}",
+        "request",
+        "measured",
+        f"shard-{index}",
+        f"endpoint-{index}",
+        SNAPSHOT,
+        100.0,
+        0,
+        True,
+        False,
+        -1,
+        {"work_ms": 4.0, "top": 10},
+    )
+
+
+def _reply(request: SubRequest) -> SubReply:
+    return SubReply(
+        request.id,
+        request.endpoint,
+        request.snapshot,
+        RECORDS,
+        None,
+        "",
+        Ran.YES,
+        5.0,
+        0,
+        1,
+        4,
+        0.0,
+    )
