Decide ownership by confirmed versions and joint majorities

Cause: the cell believed its table without confirming it, so a frozen or isolated owner and the new owner of an endpoint could both send.

Confirmation counts from the time of sending, a version is installed once a majority of its members and of the members before reported it, and a new owner waits for a release or for the validity after the installation.

Ruled out: plain reads of the object API as confirmation, since a stale read returns a version that is no longer stored. A conditional rewrite is used.

--- a/src/persimmonspur/core/ownership/actions.py
+++ b/src/persimmonspur/core/ownership/actions.py
@@ -22,6 +22,17 @@
     expected_version: int
 
 
+@frozen
+class ConfirmTable:
+    """Rewrite the table unchanged and report with :meth:`Cell.observe_confirmation`.
+
+    Only a conditional update proves that no newer table is stored: a read may be stale.
+    """
+
+    table: CellTable
+    expected_version: int
+
+
 @frozen
 class SendHeartbeat:
     """Send a heartbeat to a member."""
@@ -57,4 +68,12 @@
     partitions: tuple[int, ...]
 
 
-CellAction = ReadTable | WriteTable | SendHeartbeat | FetchTableFrom | AdoptTable | ReleaseBudgets
+CellAction = (
+    ReadTable
+    | WriteTable
+    | ConfirmTable
+    | SendHeartbeat
+    | FetchTableFrom
+    | AdoptTable
+    | ReleaseBudgets
+)
--- a/src/persimmonspur/core/ownership/table.py
+++ b/src/persimmonspur/core/ownership/table.py
@@ -10,16 +10,30 @@
 class Assignment:
     """Who may use a budget.
 
-    :param owner: name of the instance.
+    :param owner: name of the instance; empty once the configuration dropped the endpoint.
     :param incarnation: incarnation of that instance.
     :param moved_at_version: table version at which it became the owner.
     :param previous: name of the former owner; empty if there was none.
+    :param previous_moved_at: table version at which the former owner became the owner.
     """
 
     owner: str
     incarnation: int
     moved_at_version: int
     previous: str = ""
+    previous_moved_at: int = 0
+
+
+@frozen
+class Removal:
+    """What the cell remembers of a former member.
+
+    :param incarnation: the removed incarnation, which may not return.
+    :param count: removals without a farewell in the last ten minutes.
+    """
+
+    incarnation: int
+    count: int
 
 
 @frozen
@@ -29,9 +43,12 @@
     :param version: grows by one with every change.
     :param attempt: id of the write attempt, to recognise a write whose reply was lost.
     :param members: members by name.
-    :param joint_members: names before the last membership change.
+    :param joint_members: names of the members of the version before.
     :param assignments: endpoint budgets by endpoint name.
     :param claim_owners: claim partitions by number.
+    :param configuration_version: the configuration that the assignments follow.
+    :param terminated: incarnations by name that the platform or an operator declared ended.
+    :param removals: former members by name.
     """
 
     cell: str
@@ -41,6 +58,14 @@
     joint_members: frozenset[str] = frozenset()
     assignments: dict[str, Assignment] = field(factory=dict)
     claim_owners: dict[int, Assignment] = field(factory=dict)
+    configuration_version: int = 0
+    terminated: dict[str, int] = field(factory=dict)
+    removals: dict[str, Removal] = field(factory=dict)
+
+
+def count_majority(members: int) -> int:
+    """Return how many of a number of members are a majority."""
+    return members // 2 + 1
 
 
 def encode_table(table: CellTable) -> bytes:
--- a/src/persimmonspur/daemon/controllers/cell.py
+++ b/src/persimmonspur/daemon/controllers/cell.py
@@ -6,6 +6,7 @@
 from persimmonspur.core.ownership.actions import (
     AdoptTable,
     CellAction,
+    ConfirmTable,
     FetchTableFrom,
     ReadTable,
     ReleaseBudgets,
@@ -19,16 +20,26 @@
 from persimmonspur.model.messages import FetchTable, Heartbeat, Release, TableState
 
 TICK_MS = 100.0
+REPORT_TICKS = 10
+
+# Two members read the instance list often; the others only learn which names it shows.
+LISTING_MS = 10_000.0
+SELDOM_LISTING_MS = 300_000.0
 
 
 @CONTROLLERS.register("cell")
 class CellController:
-    """Connects :class:`Cell` with the object API and the peers."""
+    """Connects :class:`Cell` with the object API, the instance list and the peers."""
 
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._cell = instance.cell
         self._key = f"cells/{instance.settings.cell}/table"
+        self._table: CellTable | None = None
+        self._incarnation = instance.incarnation
+        self._listed_ms = 0.0
+        self._listing = False
+        self._had_valid = False
         self._loop: gevent.Greenlet[[], None] | None = None
 
     def start(self) -> None:
@@ -51,6 +62,7 @@
 
     def execute(self, actions: list[CellAction]) -> None:
         """Carry out the cell's actions."""
+        adopted = False
         for action in actions:
             match action:
                 case SendHeartbeat():
@@ -61,21 +73,33 @@
                     gevent.spawn(self._read)
                 case WriteTable():
                     gevent.spawn(self._write, action)
+                case ConfirmTable():
+                    gevent.spawn(self._confirm, action)
                 case AdoptTable():
+                    adopted = True
                     self._adopt(action.table)
                 case ReleaseBudgets():
-                    self._instance.endpoints.release(action)
+                    self._release(action)
+        if adopted:
+            # After the releases, which need the state of the gates that go.
+            self._instance.endpoints.refresh()
 
     def _run(self) -> None:
+        ticks = 0
         while True:
             now_ms = self._instance.clock.now_ms()
             self.execute(self._cell.tick(now_ms))
+            if ticks % REPORT_TICKS == 0:
+                self._report(now_ms)
+                self._schedule_listing(now_ms)
+            ticks += 1
             gevent.sleep(TICK_MS / 1000)
 
     def _read(self) -> None:
         started_ms = self._instance.clock.now_ms()
         result = self._instance.object_api.read(self._key)
         now_ms = self._instance.clock.now_ms()
+        self._count("read", result.is_ok())
         if result.is_error():
             self._instance.timeline.record(events.STORE_FAILED, reason=result.error.message)
             self.execute(self._cell.observe_read_failure(now_ms))
@@ -84,26 +108,113 @@
         if stored is None:
             self.execute(self._cell.observe_read(None, 0, started_ms, now_ms))
             return
-        table = decode_table(stored.value)
+        table = self._decode(stored.value)
+        if table is None:
+            self.execute(self._cell.observe_read_failure(now_ms))
+            return
         self.execute(self._cell.observe_read(table, stored.version, started_ms, now_ms))
 
     def _write(self, action: WriteTable) -> None:
+        version = action.table.version
         value = encode_table(action.table)
         result = self._instance.object_api.write(self._key, value, action.expected_version)
         now_ms = self._instance.clock.now_ms()
-        if result.is_ok():
-            self._instance.timeline.record(events.TABLE_WRITTEN, version=action.table.version)
-            self.execute(self._cell.observe_write(action.table.attempt, result.ok, now_ms))
-            self.execute(self._cell.observe_table(action.table, now_ms))
-            return
-        self._instance.timeline.record(events.TABLE_CONFLICT, version=action.table.version)
-        self.execute(self._cell.observe_write(action.table.attempt, None, now_ms))
+        self._count("write", result.is_ok())
+        stored_version = result.ok if result.is_ok() else None
+        event = events.TABLE_CONFLICT if stored_version is None else events.TABLE_WRITTEN
+        self._instance.timeline.record(event, version=version)
+        self.execute(self._cell.observe_write(action.table.attempt, stored_version, now_ms))
+
+    def _confirm(self, action: ConfirmTable) -> None:
+        started_ms = self._instance.clock.now_ms()
+        value = encode_table(action.table)
+        result = self._instance.object_api.write(self._key, value, action.expected_version)
+        now_ms = self._instance.clock.now_ms()
+        self._count("confirm", result.is_ok())
+        stored_version = result.ok if result.is_ok() else None
+        version = action.table.version
+        self.execute(self._cell.observe_confirmation(version, started_ms, stored_version, now_ms))
 
     def _adopt(self, table: CellTable) -> None:
-        self._instance.timeline.record(events.TABLE_ADOPTED, version=table.version)
-        self._instance.metrics.table_version.set(table.version)
-        self._instance.connect_members(table)
-        self._instance.endpoints.refresh()
+        instance = self._instance
+        instance.timeline.record(events.TABLE_ADOPTED, version=table.version)
+        instance.metrics.table_version.set(table.version)
+        instance.metrics.members.set(len(table.members))
+        self._report_members(table)
+        former = self._table.members.keys() if self._table is not None else set()
+        # Members of the version before may still have to be told of this one.
+        for name in former - table.members.keys() - table.joint_members:
+            instance.transport.disconnect(name)
+        self._table = table
+        instance.connect_members(table)
+
+    def _report_members(self, table: CellTable) -> None:
+        former = self._table.members if self._table is not None else {}
+        for name in sorted(former.keys() | table.members.keys()):
+            before, after = former.get(name), table.members.get(name)
+            if before and after and before.incarnation == after.incarnation:
+                continue
+            if before is not None:
+                self._instance.metrics.members_gone.inc()
+                self._instance.timeline.record(
+                    events.MEMBER_GONE, member=name, incarnation=before.incarnation
+                )
+            if after is not None:
+                self._instance.timeline.record(
+                    events.MEMBER_JOINED, member=name, incarnation=after.incarnation
+                )
+
+    def _release(self, action: ReleaseBudgets) -> None:
+        self._instance.timeline.record(
+            events.BUDGETS_RELEASED, endpoints=len(action.endpoints), receiver=action.receiver
+        )
+        self._instance.endpoints.release(action)
+
+    def _report(self, now_ms: float) -> None:
+        cell, timeline, metrics = self._cell, self._instance.timeline, self._instance.metrics
+        valid = cell.count_valid(now_ms)
+        metrics.valid_budgets.set(valid)
+        metrics.installed_version.set(cell.installed_version)
+        metrics.store_calls.set(getattr(self._instance.object_api, "calls", 0))
+        if cell.member.incarnation != self._incarnation:
+            self._incarnation = cell.member.incarnation
+            timeline.record(events.INCARNATION_ENDED, incarnation=self._incarnation)
+        owned = cell.count_owned()
+        if self._had_valid and owned and not valid:
+            self._had_valid = False
+            timeline.record(events.VALIDITY_LOST, owned=owned)
+        if not self._had_valid and valid:
+            self._had_valid = True
+            timeline.record(events.VALIDITY_GAINED, valid=valid, owned=owned)
+
+    def _schedule_listing(self, now_ms: float) -> None:
+        interval_ms = LISTING_MS if self._cell.wants_listing(now_ms) else SELDOM_LISTING_MS
+        if self._listing or (self._listed_ms and now_ms - self._listed_ms < interval_ms):
+            return
+        self._listing = True
+        self._listed_ms = now_ms
+        gevent.spawn(self._read_listing)
+
+    def _read_listing(self) -> None:
+        result = self._instance.instance_list.list_instances()
+        self._listing = False
+        self._count("listing", result.is_ok())
+        if result.is_error():
+            return
+        names = frozenset(result.ok.instances)
+        now_ms = self._instance.clock.now_ms()
+        self.execute(self._cell.observe_listing(names, now_ms))
+
+    def _count(self, kind: str, succeeded: bool) -> None:
+        result = "ok" if succeeded else "failed"
+        self._instance.metrics.cell_store_calls.labels(kind, result).inc()
+
+    def _decode(self, value: bytes) -> CellTable | None:
+        try:
+            return decode_table(value)
+        except msgspec.DecodeError as error:
+            self._instance.timeline.record(events.TABLE_UNREADABLE, reason=str(error))
+            return None
 
     def _handle_heartbeat(self, message: PeerMessage) -> None:
         actions = self._cell.observe_heartbeat(
@@ -122,11 +233,9 @@
         self._instance.send(message.sender, TableState(table.version, encode_table(table)))
 
     def _handle_table(self, message: PeerMessage) -> None:
-        try:
-            table = decode_table(message.body.value)
-        except msgspec.DecodeError:
-            return
-        self.execute(self._cell.observe_table(table, self._instance.clock.now_ms()))
+        table = self._decode(message.body.value)
+        if table is not None:
+            self.execute(self._cell.observe_table(table, self._instance.clock.now_ms()))
 
     def _handle_release(self, message: PeerMessage) -> None:
         self._instance.endpoints.take_over(message.body.budgets)
--- a/src/persimmonspur/daemon/events.py
+++ b/src/persimmonspur/daemon/events.py
@@ -48,6 +48,30 @@
     2003, "table_conflict", "INFO", "lost the race to write cell table {version}"
 )
 STORE_FAILED = define_event(2004, "store_failed", "WARNING", "object API call failed: {reason}")
+MEMBER_JOINED = define_event(
+    2005, "member_joined", "INFO", "instance {member} incarnation {incarnation} is a member"
+)
+MEMBER_GONE = define_event(
+    2006, "member_gone", "WARNING", "instance {member} incarnation {incarnation} is no member"
+)
+INCARNATION_ENDED = define_event(
+    2007,
+    "incarnation_ended",
+    "WARNING",
+    "the cell removed this instance, which goes on as incarnation {incarnation}",
+)
+BUDGETS_RELEASED = define_event(
+    2008, "budgets_released", "INFO", "released {endpoints} endpoints to {receiver}"
+)
+VALIDITY_LOST = define_event(
+    2009, "validity_lost", "WARNING", "none of {owned} owned endpoints may be used"
+)
+VALIDITY_GAINED = define_event(
+    2010, "validity_gained", "INFO", "{valid} of {owned} owned endpoints may be used"
+)
+TABLE_UNREADABLE = define_event(
+    2011, "table_unreadable", "ERROR", "the cell table is unreadable: {reason}"
+)
 CONFIGURATION_ADOPTED = define_event(
     3001, "configuration_adopted", "INFO", "configuration {version} is in effect"
 )
--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -119,7 +119,7 @@
         """Send a message to a peer; it may be lost."""
         envelope = Envelope(
             self.settings.instance,
-            self.incarnation,
+            self.cell.member.incarnation,
             self.clock.now_ms(),
             self.cell.table_version,
             self.holder.version,
@@ -147,7 +147,8 @@
         self.view.configure(configuration)
         self.endpoint_calls.configure(configuration)
         self._update_owners()
-        self.cells.execute(self.cell.configure(configuration, self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        self.cells.execute(self.cell.configure(configuration, now_ms, self.holder.version))
         self.endpoints.refresh()
 
     def _update_owners(self) -> None:
--- a/src/persimmonspur/daemon/metrics.py
+++ b/src/persimmonspur/daemon/metrics.py
@@ -53,3 +53,27 @@
             "Version of the configuration in effect",
             registry=self.registry,
         )
+        self.valid_budgets = Gauge(
+            "persimmonspur_valid_budgets",
+            "Endpoints that this instance may use now",
+            registry=self.registry,
+        )
+        self.installed_version = Gauge(
+            "persimmonspur_installed_version",
+            "Highest cell table version known to be installed",
+            registry=self.registry,
+        )
+        self.members = Gauge(
+            "persimmonspur_members", "Members of the cell table", registry=self.registry
+        )
+        self.members_gone = Counter(
+            "persimmonspur_members_gone_total",
+            "Incarnations that left the cell table",
+            registry=self.registry,
+        )
+        self.cell_store_calls = Counter(
+            "persimmonspur_cell_store_calls_total",
+            "Calls of the object API for the cell",
+            ["kind", "result"],
+            registry=self.registry,
+        )
--- a/src/persimmonspur/model/messages.py
+++ b/src/persimmonspur/model/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from persimmonspur.errors import ErrorKind, Ran
+from persimmonspur.model.member import Member
 from persimmonspur.model.query import SnapshotId
 
 
@@ -105,12 +106,16 @@
     :param echo_sequence: latest round of the receiver that the sender has seen.
     :param echo_incarnation: incarnation of the receiver that sent that round.
     :param heard: bit i is set if the sender heard the i-th member of its table, by name order.
+    :param leaving: whether the sender is about to end.
+    :param joining: the sender's own entry while the table lacks it.
     """
 
     sequence: int
     echo_sequence: int
     echo_incarnation: int
     heard: int
+    leaving: bool = False
+    joining: Member | None = None
 
 
 class EndpointStatuses(msgspec.Struct, array_like=True, tag=5):
