--- a/src/persimmonspur/core/requests/actions.py
+++ b/src/persimmonspur/core/requests/actions.py
@@ -1,17 +1,32 @@
 """Actions that a query's coordination asks the daemon to carry out."""
 
+from enum import StrEnum
+
 from attrs import frozen
 
 from persimmonspur.model.messages import SubRequest
 from persimmonspur.model.query import QueryAnswer
 
 
+class SubRequestKind(StrEnum):
+    """Why a sub-request is sent.
+
+    A placement follows a reply that says that the former attempt did not run.
+    """
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+    PLACEMENT = "placement"
+
+
 @frozen
 class SendSubRequest:
     """Send a sub-request to an endpoint's owner."""
 
     owner: str
     request: SubRequest
+    kind: SubRequestKind = SubRequestKind.FIRST
 
 
 @frozen
--- /dev/null
+++ b/src/persimmonspur/core/requests/admission.py
@@ -0,0 +1,196 @@
+"""Bounded concurrency of one instance's queries, with a share per class."""
+
+import heapq
+
+from attrs import define, field, frozen
+
+from persimmonspur.errors import ErrorKind, Failure, Ran
+from persimmonspur.model.configuration import PriorityClass
+
+# A class may queue half as many queries as it may always run. A longer queue
+# only adds to the latency of queries that are then rejected anyway.
+QUEUE_SHARE = 0.5
+LEAST_QUEUE = 2
+MEAN_WEIGHT = 0.05
+LEAST_RETRY_AFTER_MS = 10.0
+# Queries that are left with less than this part of the class's mean time are not started.
+LEAST_TIME_SHARE = 0.5
+
+
+@frozen
+class AdmissionRequest:
+    """A query that asks to run.
+
+    :param id: unique among the queries of the instance.
+    :param deadline_ms: when its caller stops waiting.
+    """
+
+    id: int
+    priority_class: str
+    deadline_ms: float
+
+
+@frozen
+class Admit:
+    """Run the query now."""
+
+    id: int
+
+
+@frozen
+class Refuse:
+    """Return the failure to the caller; the query did not run."""
+
+    id: int
+    failure: Failure
+
+
+AdmissionAction = Admit | Refuse
+
+
+@define
+class _Class:
+    priority: int
+    share: float
+    guaranteed: int = 1
+    running: int = 0
+    mean_ms: float = 0.0
+    queue: list[tuple[float, int]] = field(factory=list)
+
+
+class Admission:
+    """Decides which queries run, wait or are refused.
+
+    A class may always run its share. Beyond it, a class may use what others
+    leave idle, except the shares of more urgent classes: a query that runs
+    is not interrupted, so that a counter lookup could not get its slot back.
+    Slots that become free go first to classes below their share, then by
+    priority, so that no class starves.
+    """
+
+    def __init__(self, concurrency: int) -> None:
+        """Start without classes.
+
+        :param concurrency: queries that run at once.
+        """
+        self._concurrency = concurrency
+        self._classes: dict[str, _Class] = {}
+        self._running: dict[int, tuple[str, float]] = {}
+        self._waiting: dict[int, AdmissionRequest] = {}
+
+    @property
+    def running(self) -> int:
+        """Queries that run."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Queries that wait."""
+        return len(self._waiting)
+
+    def configure(self, classes: tuple[PriorityClass, ...]) -> None:
+        """Take the declared classes; queries of dropped classes finish as they are."""
+        for known in classes:
+            state = self._classes.get(known.name)
+            if state is None:
+                state = self._classes[known.name] = _Class(known.priority, known.share)
+            state.priority, state.share = known.priority, known.share
+            state.guaranteed = max(1, int(known.share * self._concurrency))
+
+    def offer(self, request: AdmissionRequest, now_ms: float) -> list[AdmissionAction]:
+        """Take a query: it is admitted, queued or refused."""
+        state = self._get_class(request.priority_class)
+        if not state.queue and self._may_run(state):
+            return [self._admit(request, state, now_ms)]
+        wait_ms = self._estimate_wait(state)
+        most = max(LEAST_QUEUE, int(QUEUE_SHARE * state.guaranteed))
+        hopeless = now_ms + wait_ms + LEAST_TIME_SHARE * state.mean_ms > request.deadline_ms
+        if hopeless or len(state.queue) >= most:
+            return [self._refuse(request, wait_ms)]
+        self._waiting[request.id] = request
+        heapq.heappush(state.queue, (request.deadline_ms, request.id))
+        return self._advance(now_ms)
+
+    def complete(self, query_id: int, now_ms: float) -> list[AdmissionAction]:
+        """Take the end of a query, whether it ran or waited."""
+        waiting = self._waiting.pop(query_id, None)
+        if waiting is not None:
+            state = self._get_class(waiting.priority_class)
+            state.queue = [entry for entry in state.queue if entry[1] != query_id]
+            heapq.heapify(state.queue)
+            return []
+        run = self._running.pop(query_id, None)
+        if run is None:
+            return []
+        name, started_ms = run
+        state = self._get_class(name)
+        state.running -= 1
+        duration_ms = now_ms - started_ms
+        weight = MEAN_WEIGHT if state.mean_ms > 0 else 1.0
+        state.mean_ms += weight * (duration_ms - state.mean_ms)
+        return self._advance(now_ms)
+
+    def expire(self, now_ms: float) -> list[AdmissionAction]:
+        """Refuse queries that can no longer finish in time."""
+        actions: list[AdmissionAction] = []
+        for state in self._classes.values():
+            self._expire_class(state, now_ms, actions)
+        return actions + self._advance(now_ms)
+
+    def _advance(self, now_ms: float) -> list[AdmissionAction]:
+        actions: list[AdmissionAction] = []
+        while True:
+            best: _Class | None = None
+            for state in self._classes.values():
+                self._expire_class(state, now_ms, actions)
+                if not state.queue or not self._may_run(state):
+                    continue
+                if best is None or _rank(state) < _rank(best):
+                    best = state
+            if best is None:
+                return actions
+            _, query_id = heapq.heappop(best.queue)
+            actions.append(self._admit(self._waiting.pop(query_id), best, now_ms))
+
+    def _expire_class(self, state: _Class, now_ms: float, actions: list[AdmissionAction]) -> None:
+        least_ms = now_ms + LEAST_TIME_SHARE * state.mean_ms
+        while state.queue and state.queue[0][0] <= least_ms:
+            _, query_id = heapq.heappop(state.queue)
+            request = self._waiting.pop(query_id)
+            actions.append(self._refuse(request, self._estimate_wait(state)))
+
+    def _may_run(self, state: _Class) -> bool:
+        running = len(self._running)
+        if running >= self._concurrency:
+            return False
+        if state.running < state.guaranteed:
+            return True
+        for other in self._classes.values():
+            if other.priority < state.priority:
+                running += max(0, other.guaranteed - other.running)
+        return running < self._concurrency
+
+    def _estimate_wait(self, state: _Class) -> float:
+        slots = max(state.guaranteed, state.running)
+        return (len(state.queue) + 1) * state.mean_ms / slots
+
+    def _get_class(self, name: str) -> _Class:
+        state = self._classes.get(name)
+        if state is None:
+            # Dropped or never declared: least urgent, without a share.
+            state = self._classes[name] = _Class(1_000, 0.0)
+        return state
+
+    def _admit(self, request: AdmissionRequest, state: _Class, now_ms: float) -> Admit:
+        state.running += 1
+        self._running[request.id] = (request.priority_class, now_ms)
+        return Admit(request.id)
+
+    def _refuse(self, request: AdmissionRequest, wait_ms: float) -> Refuse:
+        message = f"class {request.priority_class}: no room for the query before its deadline"
+        after_ms = max(LEAST_RETRY_AFTER_MS, wait_ms)
+        return Refuse(request.id, Failure.of(ErrorKind.OVERLOADED, message, Ran.NO, after_ms))
+
+
+def _rank(state: _Class) -> tuple[bool, int]:
+    return (state.running >= state.guaranteed, state.priority)
--- /dev/null
+++ b/src/persimmonspur/core/requests/answers.py
@@ -0,0 +1,55 @@
+"""Builds the answers of queries."""
+
+from collections.abc import Collection, Iterable
+from typing import Any
+
+from persimmonspur.core.requests.coverage import list_missing, measure_coverage
+from persimmonspur.core.requests.merge import merge_records
+from persimmonspur.core.requests.progress import ShardProgress
+from persimmonspur.core.requests.snapshots import PinnedSnapshot
+from persimmonspur.errors import ErrorKind, Failure, Ran
+from persimmonspur.model.query import Coverage, Query, QueryAnswer
+
+
+def build_answer(
+    query: Query,
+    pinned: PinnedSnapshot,
+    shards: Collection[ShardProgress],
+    ran: Ran,
+    overloaded_after_ms: float | None,
+    sent: int,
+) -> QueryAnswer:
+    """Merge what was answered and state what is missing.
+
+    :param ran: what is certain about the whole query.
+    :param overloaded_after_ms: when to come back, if the latest rejection was for lack of room.
+    :param sent: sub-requests sent.
+    """
+    answered = {progress.name for progress in shards if progress.records is not None}
+    coverage = measure_coverage(pinned.shards, answered)
+    missing = list_missing(pinned.shards, answered)
+    failure = None
+    if not coverage.complete and not query.allow_partial:
+        message = f"missing shards: {', '.join(missing)}"
+        kind = ErrorKind.INCOMPLETE
+        if ran is Ran.NO and overloaded_after_ms is not None:
+            kind = ErrorKind.OVERLOADED
+        failure = Failure.of(kind, message, ran, overloaded_after_ms)
+    records = _merge(query, shards) if failure is None else []
+    return QueryAnswer(query.request_id, pinned.snapshot, coverage, missing, records, failure, sent)
+
+
+def build_rejection(
+    query: Query, pinned: PinnedSnapshot | None, failure: Failure, sent: int = 0
+) -> QueryAnswer:
+    """Build the answer of a query that is not run, with nothing covered."""
+    if pinned is None:
+        return QueryAnswer(query.request_id, None, Coverage(0), (), [], failure, sent)
+    coverage = measure_coverage(pinned.shards, ())
+    missing = list_missing(pinned.shards, ())
+    return QueryAnswer(query.request_id, None, coverage, missing, [], failure, sent)
+
+
+def _merge(query: Query, shards: Iterable[ShardProgress]) -> list[Any]:
+    parts = [progress.records for progress in shards if progress.records is not None]
+    return merge_records(parts, query.limit)
--- /dev/null
+++ b/src/persimmonspur/core/requests/attempts.py
@@ -0,0 +1,223 @@
+"""The outstanding sub-requests of one query, and what the coordinator learns from them."""
+
+from attrs import define, field
+
+from persimmonspur.core.requests.actions import (
+    CancelSubRequest,
+    CoordinationAction,
+    SendSubRequest,
+    SubRequestKind,
+)
+from persimmonspur.core.requests.context import CoordinationContext
+from persimmonspur.core.requests.limits import BULK_PRIORITY, QUERY_WINDOW
+from persimmonspur.core.requests.progress import Attempt, RanLedger, ShardProgress
+from persimmonspur.core.routing.hedging import ExtraBudget
+from persimmonspur.core.routing.latency import LatencyEstimate
+from persimmonspur.core.routing.view import EndpointView
+from persimmonspur.errors import ErrorKind, Ran
+from persimmonspur.model.configuration import Service
+from persimmonspur.model.messages import SubReply, SubRequest
+from persimmonspur.model.query import Query, SnapshotId
+
+# A reply is missing after this many 95th percentiles, and after the floor at least.
+UNANSWERED_PERCENTILES = 3.0
+UNANSWERED_FLOOR_MS = 50.0
+LEAST_RETRY_AFTER_MS = 10.0
+
+_FAULTS = frozenset((ErrorKind.ENDPOINT_FAILED, ErrorKind.UNREACHABLE, ErrorKind.INTERNAL))
+_UNAVAILABLE = frozenset(
+    (ErrorKind.NOT_OWNER, ErrorKind.ENDPOINT_DRAINING, ErrorKind.ENDPOINT_UNAVAILABLE)
+)
+_NO_ROOM = frozenset((ErrorKind.OVERLOADED, ErrorKind.DEADLINE_EXCEEDED))
+
+
+@define(eq=False)
+class Attempts:
+    """Sends, settles and gives up the attempts of one query.
+
+    :param prefix: makes the ids of sub-requests unique.
+    :param conclude_ms: when the query is answered at the latest.
+    :param bound: outstanding sub-requests allowed to the query's class, if it reads in bulk.
+    :param due_ms: when the next attempt needs attention.
+    """
+
+    query: Query
+    priority: int
+    claim_partition: int
+    context: CoordinationContext
+    service: Service
+    prefix: str
+    conclude_ms: float
+    estimate: LatencyEstimate
+    budget: ExtraBudget
+    bound: int
+    bulk: bool
+    sent: int = 0
+    due_ms: float = float("inf")
+    hedge_delay_ms: float = 0.0
+    overloaded_after_ms: float | None = None
+    ledger: RanLedger = field(factory=RanLedger)
+    running: dict[str, Attempt] = field(factory=dict)
+
+    @classmethod
+    def prepare(
+        cls,
+        query: Query,
+        priority: int,
+        claim_partition: int,
+        context: CoordinationContext,
+        conclude_ms: float,
+        now_ms: float,
+    ) -> "Attempts":
+        """Look up what the query shares with others of its service and class."""
+        prefix = context.begin(now_ms)
+        service = context.view.services[query.service]
+        name = query.priority_class
+        return cls(
+            query,
+            priority,
+            claim_partition,
+            context,
+            service,
+            prefix,
+            conclude_ms,
+            context.latencies.get(service.name, name, service.typical_ms),
+            context.budgets.get(service.name),
+            context.limits.compute_bound(service, name, context.view.coordinators),
+            priority >= BULK_PRIORITY,
+        )
+
+    @property
+    def unanswered_ms(self) -> float:
+        """Time after which a reply is missing."""
+        return max(UNANSWERED_FLOOR_MS, UNANSWERED_PERCENTILES * self.estimate.p95_ms)
+
+    def count_room(self) -> int:
+        """Return how many first sub-requests may be sent now."""
+        if not self.bulk:
+            return 1_000_000
+        outstanding = self.context.limits.count(self.service.name, self.query.priority_class)
+        room = min(QUERY_WINDOW - len(self.running), self.bound - outstanding)
+        # Without this, a query could starve while others of its class use up the bound.
+        return room if self.running else max(1, room)
+
+    def send(
+        self,
+        progress: ShardProgress,
+        view: EndpointView,
+        snapshot: SnapshotId,
+        kind: SubRequestKind,
+        now_ms: float,
+        actions: list[CoordinationAction],
+    ) -> None:
+        """Send a sub-request."""
+        query = self.query
+        self.sent += 1
+        first = kind is SubRequestKind.FIRST
+        request = SubRequest(
+            f"{query.request_id}/{progress.name}/{self.prefix}-{self.sent}",
+            query.request_id,
+            query.service,
+            progress.name,
+            view.endpoint.name,
+            snapshot,
+            self.conclude_ms - now_ms,
+            self.priority,
+            query.repeatable,
+            kind is SubRequestKind.HEDGE or kind is SubRequestKind.RETRY,
+            self.claim_partition,
+            query.body,
+        )
+        due_ms = now_ms + (self.hedge_delay_ms if first else self.unanswered_ms)
+        owner = view.owner_view
+        attempt = Attempt(request, progress, view, owner, kind, now_ms, due_ms, first)
+        progress.tried.add(view.endpoint.name)
+        progress.attempts.append(attempt)
+        self.running[request.id] = attempt
+        view.outstanding += 1
+        view.sent_since += 1
+        if due_ms < self.due_ms:
+            self.due_ms = due_ms
+        if first:
+            self.budget.add_first(1)
+        if self.bulk:
+            self.context.limits.add(self.service.name, query.priority_class, 1)
+        actions.append(SendSubRequest(owner.name, request, kind))
+
+    def settle(self, attempt: Attempt, reply: SubReply, now_ms: float) -> None:
+        """Take the reply to an attempt."""
+        self._remove(attempt)
+        self.ledger.observe(reply)
+        context = self.context
+        view = attempt.view
+        context.owner_outliers.observe_success(attempt.owner.name, now_ms)
+        if reply.limit > 0:
+            self.budget.observe_queue(reply.queue, reply.limit)
+        if reply.error is None:
+            self.estimate.observe(now_ms - attempt.sent_ms, now_ms)
+            view.observe_slowness(self.estimate.observe_service(reply.service_ms))
+            view.observe_outcome(failed=False)
+            context.endpoint_outliers.observe_success(view.endpoint.name, now_ms)
+            return
+        self._learn_from_error(attempt, reply, now_ms)
+
+    def abandon(self, attempt: Attempt, now_ms: float, actions: list[CoordinationAction]) -> None:
+        """Give up an attempt that lost or that nobody waits for any more."""
+        self._remove(attempt)
+        self.ledger.abandon()
+        elapsed_ms = now_ms - attempt.sent_ms
+        # Its time would have been longer still; without it the estimates would
+        # only see the attempts that were fast enough.
+        self.estimate.observe(elapsed_ms, now_ms)
+        ratio = elapsed_ms / max(0.01, self.estimate.mean_service_ms)
+        if attempt.kind is SubRequestKind.FIRST and ratio > attempt.view.slowness:
+            attempt.view.observe_slowness(ratio)
+        actions.append(CancelSubRequest(attempt.owner.name, attempt.request.id))
+
+    def abandon_all(self, now_ms: float, actions: list[CoordinationAction]) -> None:
+        """Give up all attempts; those that were overdue at a live owner count as failed."""
+        for attempt in list(self.running.values()):
+            if attempt.overdue and attempt.owner.replied_ms >= attempt.sent_ms:
+                self._blame(attempt, now_ms)
+            self.abandon(attempt, now_ms, actions)
+
+    def suspect_owner(self, attempt: Attempt, now_ms: float) -> None:
+        """Prefer other owners, since this one replied to nothing since the attempt was sent."""
+        name = attempt.owner.name
+        attempt.owner.suspect(self.context.owner_outliers.observe_failure(name, now_ms))
+
+    def update_due(self) -> None:
+        """Compute when the next attempt needs attention."""
+        due_ms = float("inf")
+        for attempt in self.running.values():
+            due_ms = min(due_ms, attempt.due_ms)
+        self.due_ms = due_ms
+
+    def _remove(self, attempt: Attempt) -> None:
+        del self.running[attempt.request.id]
+        attempt.progress.attempts.remove(attempt)
+        attempt.view.outstanding -= 1
+        if self.bulk:
+            self.context.limits.add(self.service.name, self.query.priority_class, -1)
+
+    def _learn_from_error(self, attempt: Attempt, reply: SubReply, now_ms: float) -> None:
+        view = attempt.view
+        error = reply.error
+        if error in _UNAVAILABLE:
+            view.observe_outcome(failed=True)
+        elif error is ErrorKind.SNAPSHOT_NOT_HELD:
+            self.context.view.forget_snapshot(view, attempt.request.snapshot)
+        elif error in _FAULTS or reply.ran is Ran.UNKNOWN:
+            # A deadline that was too short for any endpoint is no evidence against this one.
+            expected = now_ms - attempt.sent_ms < self.unanswered_ms
+            if not (error is ErrorKind.DEADLINE_EXCEEDED and expected):
+                self._blame(attempt, now_ms)
+        if error in _NO_ROOM:
+            wait_ms = max(reply.retry_after_ms, view.backlog_ms, LEAST_RETRY_AFTER_MS)
+            self.overloaded_after_ms = wait_ms
+
+    def _blame(self, attempt: Attempt, now_ms: float) -> None:
+        view = attempt.view
+        view.observe_outcome(failed=True)
+        until_ms = self.context.endpoint_outliers.observe_failure(view.endpoint.name, now_ms)
+        view.ejected_until_ms = max(view.ejected_until_ms, until_ms)
--- /dev/null
+++ b/src/persimmonspur/core/requests/context.py
@@ -0,0 +1,61 @@
+"""What the queries of one instance share."""
+
+from random import Random
+
+from attrs import Factory, define, field
+
+from persimmonspur.core.requests.limits import OutstandingLimits
+from persimmonspur.core.requests.snapshots import SnapshotPins
+from persimmonspur.core.routing.choice import ChoiceContext
+from persimmonspur.core.routing.hedging import BudgetBook
+from persimmonspur.core.routing.latency import LatencyBook
+from persimmonspur.core.routing.outliers import OutlierDetector
+from persimmonspur.core.routing.view import RoutingView
+
+ENDPOINT_FAILURES = 3
+# A sub-request that stays without a reply while its owner replies to nothing else is proof enough.
+OWNER_FAILURES = 1
+
+
+@define
+class CoordinationContext:
+    """What the queries of one instance share.
+
+    :param failure_domain: the coordinator's own.
+    :param policy: name of the choice policy.
+    :param extras: whether hedges and retries are sent at all.
+    :param early_rejection: whether queries that cannot finish in time are rejected at once.
+    :param origin: unique to this process; part of every sub-request id, since two
+        coordinators may run the same request at once.
+    """
+
+    view: RoutingView
+    failure_domain: str
+    rng: Random
+    policy: str = "expected_wait"
+    extras: bool = True
+    early_rejection: bool = True
+    origin: str = "c"
+    latencies: LatencyBook = field(factory=LatencyBook)
+    budgets: BudgetBook = field(factory=BudgetBook)
+    limits: OutstandingLimits = field(factory=OutstandingLimits)
+    pins: SnapshotPins = field(factory=SnapshotPins)
+    choice: ChoiceContext = Factory(
+        lambda self: ChoiceContext(self.view, self.failure_domain, self.rng), takes_self=True
+    )
+    endpoint_outliers: OutlierDetector = Factory(
+        lambda self: OutlierDetector(self.rng, ENDPOINT_FAILURES), takes_self=True
+    )
+    owner_outliers: OutlierDetector = Factory(
+        lambda self: OutlierDetector(self.rng, OWNER_FAILURES), takes_self=True
+    )
+    _runs: int = 0
+
+    def begin(self, now_ms: float) -> str:
+        """Bring the view up to date for a query.
+
+        :returns: a prefix for the query's sub-request ids, unique in this process's life.
+        """
+        self.view.refresh(now_ms)
+        self._runs += 1
+        return f"{self.origin}-{self._runs}"
--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -1,56 +1,48 @@
 """Coordinates the sub-requests of one query."""
 
-from random import Random
-from typing import Any
-
-from attrs import define, field
+from attrs import frozen
 
 from persimmonspur.core.requests.actions import (
-    CancelSubRequest,
     CoordinationAction,
     Finish,
-    SendSubRequest,
+    SubRequestKind,
     WakeAt,
 )
-from persimmonspur.core.requests.coverage import list_missing, measure_coverage
-from persimmonspur.core.requests.merge import merge_records
-from persimmonspur.core.requests.snapshots import PinnedSnapshot, pin_snapshot
-from persimmonspur.core.routing.choice import CHOICE_POLICIES, find_usable
-from persimmonspur.core.routing.view import EndpointView, RoutingView
+from persimmonspur.core.requests.answers import build_answer, build_rejection
+from persimmonspur.core.requests.attempts import LEAST_RETRY_AFTER_MS, Attempts
+from persimmonspur.core.requests.context import CoordinationContext
+from persimmonspur.core.requests.progress import Attempt, ShardProgress
+from persimmonspur.core.requests.snapshots import PinnedSnapshot
+from persimmonspur.core.routing.choice import (
+    CHOICE_POLICIES,
+    estimate_wait,
+    find_usable,
+    restrict_first,
+    restrict_redirected,
+)
+from persimmonspur.core.routing.view import EndpointView
 from persimmonspur.errors import ErrorKind, Failure, Ran
-from persimmonspur.model.configuration import Service
-from persimmonspur.model.messages import SubReply, SubRequest
-from persimmonspur.model.query import Coverage, Query, QueryAnswer
-
-HOP_MARGIN_MS = 2.0
+from persimmonspur.model.messages import SubReply
+from persimmonspur.model.query import Query
 
+__all__ = ["HOP_MARGIN_MS", "Coordination", "CoordinationContext"]
 
-@define
-class CoordinationContext:
-    """What the queries of one instance share.
-
-    :param failure_domain: the coordinator's own.
-    :param policy: name of the choice policy.
-    """
-
-    view: RoutingView
-    failure_domain: str
-    rng: Random
-    policy: str = "expected_wait"
+HOP_MARGIN_MS = 2.0
+# How soon to ask again for a hedge, retry or slot that a budget or bound denied.
+RECHECK_MS = 10.0
+# Replies may wait unread after the process itself stood still for this long.
+STALL_MS = 50.0
+# Part of the remaining time that the expected wait may take. The rest covers
+# the spread of service times, since the slowest of many shards counts.
+EARLY_SHARE = 0.6
 
 
-@define
-class _Attempt:
-    request: SubRequest
+@frozen
+class _Target:
+    progress: ShardProgress
     view: EndpointView
 
 
-@define
-class _ShardProgress:
-    tried: set[str] = field(factory=set)
-    records: list[Any] | None = None
-
-
 class Coordination:
     """One running query.
 
@@ -71,118 +63,335 @@
         """
         self.query = query
         self.finished = False
-        self._priority = priority
+        self.restarted = False
+        self.pinned: PinnedSnapshot | None = None
         self._context = context
-        self._deadline_ms = now_ms + query.timeout_ms
-        self._claim_partition = claim_partition
-        self._pinned: PinnedSnapshot | None = None
-        self._shards: dict[str, _ShardProgress] = {}
-        self._attempts: dict[str, _Attempt] = {}
-        self._sent = 0
-        self._ran = Ran.NO
+        self._conclude_ms = now_ms + query.timeout_ms - HOP_MARGIN_MS
+        self._attempts = Attempts.prepare(
+            query, priority, claim_partition, context, self._conclude_ms, now_ms
+        )
+        self._service = self._attempts.service
+        self._budget = self._attempts.budget
+        self._choose = CHOICE_POLICIES.get(context.policy)
+        # Hedges and retries may run a request twice.
+        self._extras = query.repeatable and context.extras
+        self._shards: dict[str, ShardProgress] = {}
+        self._open = 0
+        # Whether shards wait for room or for the budget.
+        self._pending = False
+        self._owing = False
+        self._wake_ms = float("inf")
 
     def start(self, now_ms: float) -> list[CoordinationAction]:
         """Pin a snapshot and send the first sub-requests."""
-        service = self._context.view.services[self.query.service]
-        self._pinned = pin_snapshot(self._context.view, service, self.query.key)
-        if self._pinned is None:
-            return self._fail(ErrorKind.NO_SNAPSHOT, "no endpoint holds a snapshot")
-        actions: list[CoordinationAction] = []
-        for shard in self._pinned.shards:
-            self._shards[shard.name] = _ShardProgress()
-            actions.extend(self._send(service, shard.name, now_ms))
-        if not self._attempts:
-            return self._conclude()
-        actions.append(WakeAt(self._deadline_ms - HOP_MARGIN_MS))
-        return actions
+        context = self._context
+        pinned = context.pins.pin(context.view, self._service, self.query.key)
+        if pinned is None:
+            return self._reject(ErrorKind.NO_SNAPSHOT, "no endpoint holds a snapshot", None)
+        return self._begin(pinned, now_ms)
 
     def observe_reply(self, reply: SubReply, now_ms: float) -> list[CoordinationAction]:
-        """Take a reply; late and repeated replies are ignored."""
-        attempt = self._attempts.pop(reply.id, None)
-        if attempt is None or self.finished or self._pinned is None:
-            return []
-        attempt.view.outstanding -= 1
-        if reply.ran is not Ran.NO:
-            self._ran = Ran.YES if reply.ran is Ran.YES else self._ran
-        progress = self._shards[attempt.request.shard]
-        if reply.error is None and reply.snapshot == self._pinned.snapshot:
-            progress.records = reply.records
-        if self._attempts:
+        """Take a reply; late, repeated and foreign replies are ignored."""
+        attempt = self._attempts.running.get(reply.id)
+        if attempt is None or reply.endpoint != attempt.request.endpoint or self.pinned is None:
             return []
-        return self._conclude()
+        self._attempts.settle(attempt, reply, now_ms)
+        progress = attempt.progress
+        actions: list[CoordinationAction] = []
+        if reply.error is None and reply.snapshot == self.pinned.snapshot:
+            self._complete(progress, reply, now_ms, actions)
+        elif not progress.attempts:
+            self._replace(progress, reply, now_ms, actions)
+        if self._pending and self._open:
+            self._send_waiting(now_ms, actions)
+        return self._advance(now_ms, actions)
 
     def wake(self, now_ms: float) -> list[CoordinationAction]:
         """Act on the time; answers at the deadline with what there is."""
         if self.finished:
             return []
-        if now_ms < self._deadline_ms - HOP_MARGIN_MS:
-            return [WakeAt(self._deadline_ms - HOP_MARGIN_MS)]
+        if now_ms >= self._conclude_ms:
+            return self._conclude(now_ms)
         actions: list[CoordinationAction] = []
-        for attempt in self._attempts.values():
-            attempt.view.outstanding -= 1
-            self._ran = Ran.UNKNOWN
-            actions.append(CancelSubRequest(attempt.view.owner, attempt.request.id))
-        self._attempts.clear()
-        return actions + self._conclude()
-
-    def _send(self, service: Service, shard: str, now_ms: float) -> list[CoordinationAction]:
-        assert self._pinned is not None
+        stalled = now_ms - self._wake_ms > STALL_MS
+        self._wake_ms = float("inf")
+        running = self._attempts.running
+        for attempt in list(running.values()):
+            if attempt.due_ms > now_ms or attempt.request.id not in running:
+                continue
+            if stalled:
+                attempt.due_ms = now_ms + RECHECK_MS
+                continue
+            self._check(attempt, now_ms, actions)
+        if self._owing:
+            self._retry_owed(now_ms, actions)
+        if self._pending and self._open:
+            self._send_waiting(now_ms, actions)
+        self._attempts.update_due()
+        return self._advance(now_ms, actions)
+
+    def _begin(self, pinned: PinnedSnapshot, now_ms: float) -> list[CoordinationAction]:
         context = self._context
-        progress = self._shards[shard]
-        usable = find_usable(
-            context.view.list_replicas(service.name, shard), self._pinned.snapshot, progress.tried
-        )
-        choose = CHOICE_POLICIES.get(context.policy)
-        view = choose(usable, context.failure_domain, context.rng)
+        self.pinned = pinned
+        context.choice.now_ms = now_ms
+        targets: list[_Target] = []
+        for shard in pinned.shards:
+            progress = self._shards[shard.name] = ShardProgress(shard.name)
+            holders = pinned.holders.get(shard.name, [])
+            view = self._choose_first(progress, holders)
+            if view is None:
+                progress.dead = True
+                continue
+            targets.append(_Target(progress, view))
+        self._open = len(targets)
+        if context.early_rejection and not self.restarted:
+            excess_ms = self._measure_excess(targets, now_ms)
+            if excess_ms > 0:
+                message = f"service {self._service.name}: its queues are too long for the deadline"
+                after_ms = max(LEAST_RETRY_AFTER_MS, excess_ms)
+                return self._reject(ErrorKind.OVERLOADED, message, after_ms)
+        actions: list[CoordinationAction] = []
+        attempts = self._attempts
+        attempts.hedge_delay_ms = self._budget.compute_delay(attempts.estimate)
+        room = attempts.count_room()
+        for target in targets:
+            if room <= 0:
+                target.progress.waiting = self._pending = True
+                continue
+            room -= 1
+            kind = SubRequestKind.FIRST
+            attempts.send(target.progress, target.view, pinned.snapshot, kind, now_ms, actions)
+        return self._advance(now_ms, actions)
+
+    def _choose_first(
+        self, progress: ShardProgress, usable: list[EndpointView]
+    ) -> EndpointView | None:
+        context = self._context
+        replicas = len(context.view.list_replicas(self._service.name, progress.name))
+        return self._choose(restrict_first(usable, replicas, context.choice), context.choice)
+
+    def _measure_excess(self, targets: list[_Target], now_ms: float) -> float:
+        """Return by how much the slowest shard's expected wait exceeds what is allowed."""
+        worst_ms = 0.0
+        for target in targets:
+            view = target.view
+            # Only the wait counts: the endpoint's mean service time is that of
+            # all classes and may be far from this one's.
+            worst_ms = max(worst_ms, estimate_wait(view, now_ms) - view.base_ms)
+        if worst_ms <= 0:
+            return 0.0
+        worst_ms += self._attempts.estimate.mean_service_ms
+        return worst_ms - EARLY_SHARE * (self._conclude_ms - now_ms)
+
+    def _send_waiting(self, now_ms: float, actions: list[CoordinationAction]) -> None:
+        """Send first sub-requests that the bounds of bulk queries held back."""
+        assert self.pinned is not None
+        context = self._context
+        context.choice.now_ms = now_ms
+        self._pending = False
+        for progress in list(self._shards.values()):
+            if not progress.waiting:
+                continue
+            replicas = context.view.list_replicas(self._service.name, progress.name)
+            usable = find_usable(replicas, self.pinned.snapshot, ())
+            view = self._choose_first(progress, usable)
+            if view is None:
+                progress.waiting = False
+                self._kill(progress, now_ms, actions)
+                continue
+            busy = view.backlog_ms > 0 and bool(self._attempts.running)
+            if busy or self._attempts.count_room() <= 0:
+                self._pending = True
+                continue
+            progress.waiting = False
+            kind = SubRequestKind.FIRST
+            self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
+
+    def _complete(
+        self,
+        progress: ShardProgress,
+        reply: SubReply,
+        now_ms: float,
+        actions: list[CoordinationAction],
+    ) -> None:
+        progress.records = reply.records if reply.records is not None else []
+        self._open -= 1
+        for loser in list(progress.attempts):
+            self._attempts.abandon(loser, now_ms, actions)
+
+    def _replace(
+        self,
+        progress: ShardProgress,
+        reply: SubReply,
+        now_ms: float,
+        actions: list[CoordinationAction],
+    ) -> None:
+        """Act on a shard whose last attempt failed."""
+        assert self.pinned is not None
+        if reply.error is not None and reply.ran is Ran.NO:
+            view = self._choose_other(progress, now_ms)
+            if view is not None:
+                kind = SubRequestKind.PLACEMENT
+                self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
+                return
+        elif self._extras:
+            self._retry(progress, now_ms, actions)
+            return
+        self._kill(progress, now_ms, actions)
+
+    def _retry(
+        self, progress: ShardProgress, now_ms: float, actions: list[CoordinationAction]
+    ) -> None:
+        """Send a shard's retry, or owe it until the budget allows it."""
+        assert self.pinned is not None
+        progress.owed = False
+        view = self._choose_other(progress, now_ms)
+        if view is None or self._budget.saturated:
+            self._kill(progress, now_ms, actions)
+            return
+        if not self._budget.take_retry():
+            progress.owed = self._owing = True
+            return
+        kind = SubRequestKind.RETRY
+        self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
+
+    def _retry_owed(self, now_ms: float, actions: list[CoordinationAction]) -> None:
+        self._owing = False
+        for progress in list(self._shards.values()):
+            if progress.owed:
+                self._retry(progress, now_ms, actions)
+
+    def _choose_other(
+        self, progress: ShardProgress, now_ms: float, than: Attempt | None = None
+    ) -> EndpointView | None:
+        """Choose an untried warm replica that can answer in time.
+
+        :param than: choose another owner than this attempt's, and another failure
+            domain if possible.
+        """
+        assert self.pinned is not None
+        context = self._context
+        context.choice.now_ms = now_ms
+        replicas = context.view.list_replicas(self._service.name, progress.name)
+        usable = find_usable(replicas, self.pinned.snapshot, progress.tried)
+        usable = restrict_redirected(usable, len(replicas), now_ms)
+        remaining_ms = self._conclude_ms - now_ms
+        usable = [view for view in usable if estimate_wait(view, now_ms) < remaining_ms]
+        if than is not None:
+            usable = [view for view in usable if view.owner_view.name != than.owner.name]
+            domain = than.view.endpoint.failure_domain
+            distant = [view for view in usable if view.endpoint.failure_domain != domain]
+            usable = distant or usable
+        return self._choose(usable, context.choice)
+
+    def _check(self, attempt: Attempt, now_ms: float, actions: list[CoordinationAction]) -> None:
+        """Act on an attempt whose reply is late."""
+        assert self.pinned is not None
+        if attempt.hedgeable and now_ms < attempt.sent_ms + self._attempts.unanswered_ms:
+            self._hedge(attempt, now_ms, actions)
+            return
+        attempt.overdue = True
+        attempt.due_ms = now_ms + RECHECK_MS
+        # An owner that replied to anything since then is alive; its endpoint is slow.
+        if attempt.owner.replied_ms < attempt.sent_ms:
+            self._attempts.suspect_owner(attempt, now_ms)
+        elif self._budget.saturated:
+            return
+        if not self._extras or not all(other.overdue for other in attempt.progress.attempts):
+            return
+        view = self._choose_other(attempt.progress, now_ms, attempt)
         if view is None:
-            return []
-        self._sent += 1
-        request = SubRequest(
-            f"{self.query.request_id}/{shard}/{self._sent}",
-            self.query.request_id,
-            service.name,
-            shard,
-            view.endpoint.name,
-            self._pinned.snapshot,
-            self._deadline_ms - now_ms - HOP_MARGIN_MS,
-            self._priority,
-            self.query.repeatable,
-            False,
-            self._claim_partition,
-            self.query.body,
-        )
-        progress.tried.add(view.endpoint.name)
-        view.outstanding += 1
-        self._attempts[request.id] = _Attempt(request, view)
-        return [SendSubRequest(view.owner, request)]
+            attempt.due_ms = float("inf")
+        elif self._budget.take_retry():
+            kind = SubRequestKind.RETRY
+            snapshot = self.pinned.snapshot
+            self._attempts.send(attempt.progress, view, snapshot, kind, now_ms, actions)
+
+    def _hedge(self, attempt: Attempt, now_ms: float, actions: list[CoordinationAction]) -> None:
+        assert self.pinned is not None
+        attempt.due_ms = attempt.sent_ms + self._attempts.unanswered_ms
+        view = None
+        if self._extras and len(attempt.progress.attempts) == 1:
+            view = self._choose_other(attempt.progress, now_ms, attempt)
+        if view is None:
+            attempt.hedgeable = False
+        elif self._budget.take_hedge():
+            attempt.hedgeable = False
+            kind = SubRequestKind.HEDGE
+            snapshot = self.pinned.snapshot
+            self._attempts.send(attempt.progress, view, snapshot, kind, now_ms, actions)
+        else:
+            attempt.due_ms = min(attempt.due_ms, now_ms + RECHECK_MS)
+
+    def _kill(
+        self, progress: ShardProgress, now_ms: float, actions: list[CoordinationAction]
+    ) -> None:
+        """Give a shard up, or restart the query if its snapshot was lost."""
+        progress.dead = True
+        self._open -= 1
+        newer = self._find_newer(progress, now_ms)
+        if newer is None:
+            return
+        self.restarted = True
+        self._attempts.abandon_all(now_ms, actions)
+        for former in self._shards.values():
+            former.owed = former.waiting = False
+        self._shards.clear()
+        actions.extend(self._begin(newer, now_ms))
 
-    def _conclude(self) -> list[CoordinationAction]:
-        assert self._pinned is not None
+    def _find_newer(self, progress: ShardProgress, now_ms: float) -> PinnedSnapshot | None:
+        """Return a newer snapshot if the pinned one is lost and time permits a restart."""
+        assert self.pinned is not None
+        if not self.query.repeatable or self.restarted:
+            return None
+        if now_ms + self._attempts.estimate.p95_ms > self._conclude_ms:
+            return None
+        view = self._context.view
+        replicas = view.list_replicas(self._service.name, progress.name)
+        if find_usable(replicas, self.pinned.snapshot, ()):
+            return None
+        newer = self._context.pins.pin(view, self._service, self.query.key)
+        if newer is None or not newer.complete or newer.snapshot <= self.pinned.snapshot:
+            return None
+        return newer
+
+    def _advance(
+        self, now_ms: float, actions: list[CoordinationAction]
+    ) -> list[CoordinationAction]:
+        """Conclude if nothing more can come, or else ask for the next wake."""
+        if self.finished:
+            return actions
+        if self._open <= 0:
+            actions.extend(self._conclude(now_ms))
+            return actions
+        wake_ms = min(self._conclude_ms, self._attempts.due_ms)
+        if self._pending or self._owing:
+            wake_ms = min(wake_ms, now_ms + RECHECK_MS)
+        if wake_ms < self._wake_ms:
+            self._wake_ms = wake_ms
+            actions.append(WakeAt(wake_ms))
+        return actions
+
+    def _conclude(self, now_ms: float) -> list[CoordinationAction]:
+        assert self.pinned is not None
         self.finished = True
-        answered = {name for name, progress in self._shards.items() if progress.records is not None}
-        coverage = measure_coverage(self._pinned.shards, answered)
-        missing = list_missing(self._pinned.shards, answered)
-        failure = None
-        if not coverage.complete and not self.query.allow_partial:
-            failure = Failure.of(
-                ErrorKind.INCOMPLETE, f"missing shards: {', '.join(missing)}", self._ran
-            )
-        parts = [
-            progress.records for progress in self._shards.values() if progress.records is not None
-        ]
-        records = merge_records(parts, self.query.limit) if failure is None else []
-        answer = QueryAnswer(
-            self.query.request_id,
-            self._pinned.snapshot,
-            coverage,
-            missing,
-            records,
-            failure,
-            self._sent,
+        attempts = self._attempts
+        actions: list[CoordinationAction] = []
+        attempts.abandon_all(now_ms, actions)
+        answer = build_answer(
+            self.query,
+            self.pinned,
+            self._shards.values(),
+            attempts.ledger.get(),
+            attempts.overloaded_after_ms,
+            attempts.sent,
         )
-        return [Finish(answer)]
+        actions.append(Finish(answer))
+        return actions
 
-    def _fail(self, kind: ErrorKind, message: str) -> list[CoordinationAction]:
+    def _reject(
+        self, kind: ErrorKind, message: str, retry_after_ms: float | None
+    ) -> list[CoordinationAction]:
         self.finished = True
-        failure = Failure.of(kind, message, self._ran)
-        return [Finish(QueryAnswer(self.query.request_id, None, Coverage(0), (), [], failure, 0))]
+        failure = Failure.of(kind, message, self._attempts.ledger.get(), retry_after_ms)
+        return [Finish(build_rejection(self.query, self.pinned, failure))]
--- a/src/persimmonspur/core/requests/snapshots.py
+++ b/src/persimmonspur/core/requests/snapshots.py
@@ -1,8 +1,8 @@
 """Choice of the one snapshot that a query reads."""
 
-from attrs import frozen
+from attrs import define, field, frozen
 
-from persimmonspur.core.routing.view import RoutingView
+from persimmonspur.core.routing.view import EndpointView, RoutingView
 from persimmonspur.model.configuration import Service, Shard, ShardMap
 from persimmonspur.model.query import SnapshotId
 
@@ -12,15 +12,50 @@
     """A snapshot and the shards that a query needs in its epoch.
 
     :param servable_units: key space units that usable endpoints hold.
+    :param replicated_units: key space units that at least ``min_replicas`` of them hold.
+    :param holders: the usable endpoints that hold the snapshot, by shard name.
     """
 
     snapshot: SnapshotId
     shards: tuple[Shard, ...]
     servable_units: int
+    replicated_units: int = 0
+    holders: dict[str, list[EndpointView]] = field(factory=dict, eq=False)
+
+    @property
+    def complete(self) -> bool:
+        """Whether every needed shard can be served."""
+        return self.servable_units == sum(shard.units for shard in self.shards)
+
+
+@define
+class SnapshotPins:
+    """Pins snapshots and keeps the result until an endpoint's readiness or snapshots change.
+
+    Looking at every replica of every shard costs more than the rest of a
+    query's start, and changes are rare.
+    """
+
+    _pins: dict[str, PinnedSnapshot | None] = field(factory=dict)
+    _generation: int = -1
+
+    def pin(self, view: RoutingView, service: Service, key: int | None) -> PinnedSnapshot | None:
+        """Return what :func:`pin_snapshot` returns."""
+        if key is not None:
+            return pin_snapshot(view, service, key)
+        if view.generation != self._generation:
+            self._pins.clear()
+            self._generation = view.generation
+        if service.name not in self._pins:
+            self._pins[service.name] = pin_snapshot(view, service, None)
+        return self._pins[service.name]
 
 
 def pin_snapshot(view: RoutingView, service: Service, key: int | None) -> PinnedSnapshot | None:
-    """Choose the newest snapshot with the best coverage.
+    """Choose the newest snapshot that ``min_replicas`` endpoints of every needed shard hold.
+
+    If there is none, choose the one with the best coverage. A snapshot
+    belongs to one epoch, so shards of two shard maps are never mixed.
 
     :param key: unit of the key space if one shard holds the answer.
     :returns: ``None`` if no usable endpoint holds any snapshot.
@@ -28,13 +63,8 @@
     best: PinnedSnapshot | None = None
     for shard_map in service.shard_maps:
         shards = select_shards(shard_map, key)
-        counts = _count_holders(view, service, shard_map, shards)
-        for snapshot, holders in counts.items():
-            units = 0
-            for shard in shards:
-                if holders.get(shard.name, 0) >= service.min_replicas:
-                    units += shard.units
-            candidate = PinnedSnapshot(snapshot, shards, units)
+        for snapshot, holders in _find_holders(view, service, shard_map, shards).items():
+            candidate = _build_pin(snapshot, shards, holders, service.min_replicas)
             if best is None or _rank(candidate) > _rank(best):
                 best = candidate
     return best
@@ -50,21 +80,42 @@
     return ()
 
 
-def _rank(pinned: PinnedSnapshot) -> tuple[int, SnapshotId]:
-    return (pinned.servable_units, pinned.snapshot)
+def _build_pin(
+    snapshot: SnapshotId,
+    shards: tuple[Shard, ...],
+    holders: dict[str, list[EndpointView]],
+    min_replicas: int,
+) -> PinnedSnapshot:
+    servable = 0
+    replicated = 0
+    for shard in shards:
+        count = len(holders.get(shard.name, ()))
+        if count > 0:
+            servable += shard.units
+        if count >= min_replicas:
+            replicated += shard.units
+    return PinnedSnapshot(snapshot, shards, servable, replicated, holders)
+
+
+def _rank(pinned: PinnedSnapshot) -> tuple[bool, float, float, SnapshotId]:
+    # Shares and not units are compared, since with a key the shards of two
+    # epochs that hold it may differ in size.
+    units = sum(shard.units for shard in pinned.shards) or 1
+    servable = pinned.servable_units / units
+    replicated = pinned.replicated_units / units
+    return (pinned.replicated_units == units, servable, replicated, pinned.snapshot)
 
 
-def _count_holders(
+def _find_holders(
     view: RoutingView, service: Service, shard_map: ShardMap, shards: tuple[Shard, ...]
-) -> dict[SnapshotId, dict[str, int]]:
-    counts: dict[SnapshotId, dict[str, int]] = {}
+) -> dict[SnapshotId, dict[str, list[EndpointView]]]:
+    found: dict[SnapshotId, dict[str, list[EndpointView]]] = {}
     for shard in shards:
         for replica in view.list_replicas(service.name, shard.name):
-            if replica.status is None or not replica.status.usable:
+            if not replica.ready:
                 continue
-            for snapshot in replica.status.snapshots:
+            for snapshot in replica.snapshots:
                 if snapshot.epoch != shard_map.epoch:
                     continue
-                holders = counts.setdefault(snapshot, {})
-                holders[shard.name] = holders.get(shard.name, 0) + 1
-    return counts
+                found.setdefault(snapshot, {}).setdefault(shard.name, []).append(replica)
+    return found
--- a/src/persimmonspur/core/routing/choice.py
+++ b/src/persimmonspur/core/routing/choice.py
@@ -1,13 +1,39 @@
 """Policies that choose among the replicas of a shard."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from random import Random
 
-from persimmonspur.core.routing.view import EndpointView
+from attrs import define
+
+from persimmonspur.core.routing.outliers import count_ejectable
+from persimmonspur.core.routing.view import EndpointView, RoutingView
 from persimmonspur.model.query import SnapshotId
 from persimmonspur.registry import Registry
 
-Choose = Callable[[Collection[EndpointView], str, Random], EndpointView | None]
+JITTER = 0.2
+# A reported queue is worked off while it ages, but other coordinators add to it.
+DRAIN = 0.5
+SUSPECTED_MS = 200.0
+# Endpoints that look slow get this share of the work, so that their recovery is seen.
+EXPLORATION = 0.001
+# A cold endpoint with a free slot gets this share of its shard's work, so that it warms up.
+COLD_SHARE = 0.05
+
+
+@define
+class ChoiceContext:
+    """What a choice depends on besides the replicas.
+
+    :param failure_domain: the coordinator's, preferred by a small margin.
+    """
+
+    view: RoutingView
+    failure_domain: str
+    rng: Random
+    now_ms: float = 0.0
+
+
+Choose = Callable[[Sequence[EndpointView], ChoiceContext], EndpointView | None]
 
 CHOICE_POLICIES: Registry[Choose] = Registry("choice policy")
 
@@ -21,47 +47,114 @@
     """
     usable = []
     for view in replicas:
-        if view.status is None or not view.status.usable or not view.owner:
+        if not view.ready or snapshot not in view.snapshots:
             continue
-        if view.endpoint.name in excluded or snapshot not in view.status.snapshots:
+        if excluded and view.endpoint.name in excluded:
             continue
         usable.append(view)
     return usable
 
 
+def restrict_first(
+    usable: list[EndpointView], replicas: int, context: ChoiceContext
+) -> list[EndpointView]:
+    """Return the replicas that may get a first sub-request.
+
+    Cold endpoints get a small share while they have a free slot, and more
+    only if no warm replica is left.
+
+    :param replicas: all replicas of the shard.
+    """
+    now_ms = context.now_ms
+    for view in usable:
+        if not view.warm or view.ejected_until_ms > now_ms:
+            break
+    else:
+        return usable
+    kept = remove_ejected(usable, replicas, now_ms)
+    warm = [view for view in kept if view.warm]
+    free = [view for view in kept if not view.warm and _has_free_slot(view)]
+    if free and (not warm or context.rng.random() < COLD_SHARE):
+        return free
+    return warm or kept
+
+
+def restrict_redirected(
+    usable: list[EndpointView], replicas: int, now_ms: float
+) -> list[EndpointView]:
+    """Return the replicas that may get hedges, retries and redirected work.
+
+    :param replicas: all replicas of the shard.
+    """
+    return [view for view in remove_ejected(usable, replicas, now_ms) if view.warm]
+
+
+def remove_ejected(usable: list[EndpointView], replicas: int, now_ms: float) -> list[EndpointView]:
+    """Return the replicas without those that are ejected, as far as the bound allows.
+
+    :param replicas: all replicas of the shard.
+    """
+    ejected = [view for view in usable if view.ejected_until_ms > now_ms]
+    if not ejected:
+        return usable
+    ejected.sort(key=lambda view: view.ejected_until_ms, reverse=True)
+    removed = ejected[: count_ejectable(replicas, len(usable))]
+    return [view for view in usable if view not in removed]
+
+
 @CHOICE_POLICIES.register("random")
-def choose_random(
-    replicas: Collection[EndpointView], failure_domain: str, rng: Random
-) -> EndpointView | None:
+def choose_random(replicas: Sequence[EndpointView], context: ChoiceContext) -> EndpointView | None:
     """Choose any replica; the naive baseline."""
     if not replicas:
         return None
-    return rng.choice(list(replicas))
+    return context.rng.choice(replicas)
 
 
 @CHOICE_POLICIES.register("expected_wait")
 def choose_expected_wait(
-    replicas: Collection[EndpointView], failure_domain: str, rng: Random
+    replicas: Sequence[EndpointView], context: ChoiceContext
 ) -> EndpointView | None:
     """Choose the replica with the lowest expected wait.
 
-    :param failure_domain: the coordinator's, preferred by a small margin.
+    All coordinators see the same statuses. Each therefore counts every
+    sub-request that it sent since the latest figures once per coordinator, as
+    the others probably did the same; otherwise all of them would send to the
+    same replica until its next status.
     """
+    random = context.rng.random
+    if not replicas:
+        return None
+    if random() < EXPLORATION:
+        return context.rng.choice(replicas)
+    now_ms = context.now_ms
+    domain = context.failure_domain
+    coordinators = context.view.coordinators
     best: EndpointView | None = None
-    best_wait_ms = 0.0
+    best_ms = 0.0
     for view in replicas:
-        wait_ms = _estimate_wait(view, failure_domain) * (1 + 0.05 * rng.random())
-        if best is None or wait_ms < best_wait_ms:
-            best, best_wait_ms = view, wait_ms
+        wait_ms = view.base_ms + view.sent_since * coordinators * view.unit_ms
+        backlog_ms = view.backlog_ms - DRAIN * (now_ms - view.reported_ms)
+        if backlog_ms > 0:
+            wait_ms += backlog_ms
+        if view.endpoint.failure_domain != domain:
+            wait_ms += view.margin_ms
+        if view.owner_view.suspected:
+            wait_ms += SUSPECTED_MS
+        wait_ms *= 1 + JITTER * random()
+        if best is None or wait_ms < best_ms:
+            best, best_ms = view, wait_ms
     return best
 
 
-def _estimate_wait(view: EndpointView, failure_domain: str) -> float:
+def estimate_wait(view: EndpointView, now_ms: float) -> float:
+    """Return the expected time until an endpoint's reply, in milliseconds."""
+    backlog_ms = view.backlog_ms - DRAIN * (now_ms - view.reported_ms)
+    wait_ms = view.base_ms + view.sent_since * view.unit_ms
+    return wait_ms + backlog_ms if backlog_ms > 0 else wait_ms
+
+
+def _has_free_slot(view: EndpointView) -> bool:
     status = view.status
-    if status is None:
-        return float("inf")
-    waiting = status.queue + status.running + view.outstanding
-    wait_ms = status.service_ms * (1 + waiting / max(1, status.limit))
-    if view.endpoint.failure_domain == failure_domain:
-        wait_ms *= 0.9
-    return wait_ms
+    if status is None or status.queue > 0:
+        return False
+    return max(status.running + view.sent_since, view.outstanding) < status.limit
--- /dev/null
+++ b/src/persimmonspur/core/routing/hedging.py
@@ -0,0 +1,92 @@
+"""Budgets of hedges and retries, one per service."""
+
+from attrs import define, field
+
+from persimmonspur.core.routing.latency import LatencyEstimate
+
+# Section 1.7 of the design bounds extra load to 3% normally and 5% during faults.
+HEDGE_SHARE = 0.02
+EXTRA_SHARE = 0.05
+# The buckets start small, so that a restarted instance cannot send a burst of hedges.
+START_HEDGES = 1.0
+START_EXTRAS = 2.0
+# The most that can be saved: what 1,000 first sub-requests earn.
+MOST_HEDGES = 20.0
+MOST_EXTRAS = 50.0
+# Below this delay a hedge cannot overtake the reply that is already on its way.
+FLOOR_MS = 5.0
+SATURATION_WEIGHT = 0.02
+SATURATED = 0.5
+# Absorbs rounding of sums of shares.
+_ONE = 1.0 - 1e-9
+
+
+class ExtraBudget:
+    """Token buckets for the hedges and retries of one service."""
+
+    def __init__(self) -> None:
+        self._hedges = START_HEDGES
+        self._extras = START_EXTRAS
+        self._full_queues = 0.0
+
+    @property
+    def saturated(self) -> bool:
+        """Whether most replies come from endpoints with as many entries waiting as running."""
+        return self._full_queues > SATURATED
+
+    def add_first(self, count: int) -> None:
+        """Earn the shares of first sub-requests that were sent."""
+        self._hedges = min(MOST_HEDGES, self._hedges + HEDGE_SHARE * count)
+        self._extras = min(MOST_EXTRAS, self._extras + EXTRA_SHARE * count)
+
+    def observe_queue(self, queue: int, limit: int) -> None:
+        """Take the queue figures of a reply."""
+        full = 1.0 if queue >= max(1, limit) else 0.0
+        self._full_queues += SATURATION_WEIGHT * (full - self._full_queues)
+
+    def take_hedge(self) -> bool:
+        """Pay for a hedge.
+
+        :returns: ``False`` if the budget is spent or the service is saturated.
+        """
+        if self.saturated or self._hedges < _ONE or self._extras < _ONE:
+            return False
+        self._hedges -= 1
+        self._extras -= 1
+        return True
+
+    def take_retry(self) -> bool:
+        """Pay for a retry.
+
+        :returns: ``False`` if the budget is spent.
+        """
+        if self._extras < _ONE:
+            return False
+        self._extras -= 1
+        return True
+
+    def compute_delay(self, estimate: LatencyEstimate) -> float:
+        """Return how long to wait for a reply before a hedge, in milliseconds.
+
+        One sub-request in twenty exceeds the 95th percentile, but the budget
+        pays for one in fifty. The delay therefore moves towards the 99th
+        percentile while the bucket is empty, so that hedges are left for the
+        slowest.
+        """
+        fullness = min(1.0, self._hedges / MOST_HEDGES)
+        p95_ms = estimate.p95_ms
+        return max(FLOOR_MS, p95_ms + (1 - fullness) * max(0.0, estimate.p99_ms - p95_ms))
+
+
+@define
+class BudgetBook:
+    """The budgets of all services."""
+
+    _budgets: dict[str, ExtraBudget] = field(factory=dict)
+
+    def get(self, service: str) -> ExtraBudget:
+        """Return the budget of a service, a new one if there is none."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = ExtraBudget()
+        return budget
--- /dev/null
+++ b/src/persimmonspur/core/routing/latency.py
@@ -0,0 +1,99 @@
+"""Latency of sub-requests per service and class."""
+
+from math import log2
+
+from attrs import define, field
+
+# Eight buckets per doubling bound the error of a percentile to 9%.
+BUCKETS_PER_DOUBLING = 8
+# Bucket 0 ends at 2 ** (-15 / 8) ms, about 0.27 ms; the last one starts at about 65 s.
+OFFSET = 16
+BUCKETS = 145
+# Fewer observations than this say nothing about a 95th percentile.
+LEAST_OBSERVATIONS = 20
+REFRESH_OBSERVATIONS = 32
+# Counts are halved this often, so that a changed service is seen soon.
+HALVE_OBSERVATIONS = 2_048
+HALVE_MS = 10_000.0
+MEAN_WEIGHT = 0.05
+
+
+class LatencyEstimate:
+    """Percentiles of one service and class in a histogram that forgets.
+
+    An update costs one logarithm; percentiles are computed again once per
+    :data:`REFRESH_OBSERVATIONS` updates.
+    """
+
+    def __init__(self, typical_ms: float) -> None:
+        """Start from an assumption.
+
+        :param typical_ms: expected service time in milliseconds.
+        """
+        self.p95_ms = 3 * typical_ms
+        self.p99_ms = 5 * typical_ms
+        self.mean_service_ms = typical_ms
+        self._counts = [0] * BUCKETS
+        self._total = 0
+        self._unread = 0
+        self._halved_ms = 0.0
+
+    def observe(self, latency_ms: float, now_ms: float) -> None:
+        """Take the time from sending a sub-request to its reply, or to its cancellation."""
+        index = int(log2(latency_ms) * BUCKETS_PER_DOUBLING) + OFFSET if latency_ms > 0.25 else 0
+        self._counts[min(index, BUCKETS - 1)] += 1
+        self._total += 1
+        self._unread += 1
+        if self._total >= HALVE_OBSERVATIONS or now_ms - self._halved_ms > HALVE_MS:
+            self._halve(now_ms)
+        if self._unread >= REFRESH_OBSERVATIONS:
+            self._refresh()
+
+    def observe_service(self, service_ms: float) -> float:
+        """Take the time at an endpoint.
+
+        :returns: how slow the endpoint was relative to the mean of all.
+        """
+        ratio = service_ms / max(0.01, self.mean_service_ms)
+        self.mean_service_ms += MEAN_WEIGHT * (service_ms - self.mean_service_ms)
+        return ratio
+
+    def _halve(self, now_ms: float) -> None:
+        # The first observation after the start or a pause only sets the time.
+        if self._total > LEAST_OBSERVATIONS:
+            self._counts = [count >> 1 for count in self._counts]
+            self._total = sum(self._counts)
+        self._halved_ms = now_ms
+
+    def _refresh(self) -> None:
+        if self._total < LEAST_OBSERVATIONS:
+            return
+        self._unread = 0
+        self.p95_ms = self._find_percentile(0.95)
+        self.p99_ms = self._find_percentile(0.99)
+
+    def _find_percentile(self, fraction: float) -> float:
+        remaining = fraction * self._total
+        for index, count in enumerate(self._counts):
+            remaining -= count
+            if remaining <= 0:
+                return float(2 ** ((index - OFFSET + 1) / BUCKETS_PER_DOUBLING))
+        return float(2 ** ((BUCKETS - OFFSET) / BUCKETS_PER_DOUBLING))
+
+
+@define
+class LatencyBook:
+    """The estimates of all services and classes."""
+
+    _estimates: dict[tuple[str, str], LatencyEstimate] = field(factory=dict)
+
+    def get(self, service: str, priority_class: str, typical_ms: float) -> LatencyEstimate:
+        """Return the estimate of a service and class, a new one if there is none.
+
+        :param typical_ms: expected service time in milliseconds, for a new estimate.
+        """
+        key = (service, priority_class)
+        estimate = self._estimates.get(key)
+        if estimate is None:
+            estimate = self._estimates[key] = LatencyEstimate(typical_ms)
+        return estimate
--- a/src/persimmonspur/core/routing/view.py
+++ b/src/persimmonspur/core/routing/view.py
@@ -4,69 +4,320 @@
 
 from persimmonspur.model.configuration import Configuration, Endpoint, Service
 from persimmonspur.model.messages import EndpointStatus, SubReply
+from persimmonspur.model.query import SnapshotId
 
+# Owners send every status once per second; two lost messages are no silence.
+SILENCE_MS = 2_500.0
+# By then the cell has moved a lost owner's endpoints, unless it cannot change its table.
+EXPIRY_MS = 10_000.0
+REFRESH_MS = 100.0
+ERROR_WEIGHT = 0.2
+# An endpoint that always fails looks as slow as this many service times.
+ERROR_SERVICE_TIMES = 10.0
+SLOWNESS_WEIGHT = 0.25
+MOST_SLOWNESS = 20.0
+# What each status takes off the slowness that was observed, so that it is forgotten.
+SLOWNESS_RECOVERY = 0.1
+# Another failure domain is as good as the own one if its wait is shorter by this
+# share of a service time; one entry in a queue outweighs it.
+DOMAIN_MARGIN = 0.1
+SHARED_WEIGHT = 0.05
 
-@define
+
+@define(eq=False)
+class OwnerView:
+    """One owner as a coordinator sees it.
+
+    :param local: whether it is the coordinator's own instance.
+    :param heard_ms: time of its latest status or reply.
+    :param replied_ms: time of its latest reply.
+    :param avoided_until_ms: set when sub-requests went unanswered.
+    :param suspected: whether others are preferred at present.
+    """
+
+    name: str
+    local: bool = False
+    heard_ms: float = float("-inf")
+    replied_ms: float = float("-inf")
+    avoided_until_ms: float = 0.0
+    suspected: bool = False
+    expired: bool = False
+
+    def suspect(self, until_ms: float) -> None:
+        """Prefer other owners until a time."""
+        self.avoided_until_ms = until_ms
+        self.suspected = True
+
+    def refresh(self, now_ms: float) -> None:
+        """Compute whether the owner is suspected and whether its statuses have expired."""
+        self.expired = not self.local and now_ms - self.heard_ms > EXPIRY_MS
+        self.refresh_suspicion(now_ms)
+
+    def refresh_suspicion(self, now_ms: float) -> None:
+        """Compute whether the owner is suspected."""
+        silent = not self.local and now_ms - self.heard_ms > SILENCE_MS
+        self.suspected = silent or now_ms < self.avoided_until_ms
+
+
+@define(eq=False)
+class ServiceView:
+    """What is common to the endpoints of a service.
+
+    :param mean_ms: mean time at an endpoint in milliseconds.
+    """
+
+    limits_connect_ms: float
+    mean_ms: float
+
+
+@define(eq=False)
 class EndpointView:
     """One endpoint as a coordinator sees it.
 
+    The plain fields after ``outstanding`` are derived from statuses and
+    replies, so that the choice among replicas only adds them up.
+
     :param status: latest status of its owner, ``None`` before the first.
-    :param owner: name of its owner; empty if it has none.
     :param outstanding: own sub-requests without a reply.
+    :param sent_since: own sub-requests since the latest queue figures.
+    :param ready: whether new work may be sent.
+    :param warm: whether hedges, retries and redirected work may be sent.
+    :param base_ms: expected time without a queue.
+    :param unit_ms: what one more entry adds.
+    :param backlog_ms: expected wait in the queue at ``reported_ms``.
+    :param ejected_until_ms: end of a period of avoidance.
     """
 
     endpoint: Endpoint
+    routing: "RoutingView"
+    service: ServiceView
     status: EndpointStatus | None = None
-    owner: str = ""
     outstanding: int = 0
+    sent_since: int = 0
+    owner_view: OwnerView = field(factory=lambda: OwnerView(""))
+    status_owner: str = ""
+    ready: bool = False
+    warm: bool = False
+    snapshots: frozenset[SnapshotId] = frozenset()
+    base_ms: float = 0.0
+    unit_ms: float = 0.0
+    backlog_ms: float = 0.0
+    margin_ms: float = 0.0
+    reported_ms: float = 0.0
+    ejected_until_ms: float = 0.0
+    errors: float = 0.0
+    slowness: float = 1.0
+
+    @property
+    def owner(self) -> str:
+        """Name of its owner; empty if it has none."""
+        return self.owner_view.name
+
+    @owner.setter
+    def owner(self, name: str) -> None:
+        self.owner_view = self.routing.get_owner(name)
+        self.update_readiness()
+
+    def update_readiness(self) -> None:
+        """Compute whether new work may be sent.
+
+        A status of a former owner says nothing about the present one, which
+        may have to wait before it uses the budget.
+        """
+        status = self.status
+        owner = self.owner_view
+        ready = (
+            status is not None
+            and status.usable
+            and bool(owner.name)
+            and owner.name == self.status_owner
+            and not owner.expired
+        )
+        if ready != self.ready:
+            self.ready = ready
+            self.routing.generation += 1
+
+    def observe_figures(self, queue: int, running: int, limit: int, now_ms: float) -> None:
+        """Take queue figures."""
+        status = self.status
+        if status is None:
+            return
+        status.queue, status.running, status.limit = queue, running, limit
+        self.reported_ms = now_ms
+        self.sent_since = 0
+        self.update_estimate()
+
+    def observe_outcome(self, *, failed: bool) -> None:
+        """Take a success or failure of an own sub-request."""
+        if not failed and self.errors < 0.001:
+            return
+        self.errors += ERROR_WEIGHT * ((1.0 if failed else 0.0) - self.errors)
+        self.update_estimate()
+
+    def observe_slowness(self, ratio: float) -> None:
+        """Take how slow the endpoint was relative to others of its class."""
+        change = SLOWNESS_WEIGHT * (min(MOST_SLOWNESS, ratio) - self.slowness)
+        self.slowness += change
+        # Small changes take effect with the next queue figures.
+        if abs(change) > 0.2:
+            self.update_estimate()
+
+    def update_estimate(self) -> None:
+        """Compute the derived figures."""
+        status = self.status
+        if status is None:
+            return
+        limit = max(1, status.limit)
+        service_ms = max(status.service_ms, self.service.mean_ms * self.slowness)
+        self.unit_ms = service_ms / limit
+        self.base_ms = service_ms * (1 + ERROR_SERVICE_TIMES * self.errors)
+        if not self.warm:
+            # A cold endpoint opens its connections one at a time.
+            self.base_ms += self.service.limits_connect_ms
+        # An entry waits only if no slot is free.
+        waiting = status.queue + status.running + 1 - limit
+        self.backlog_ms = max(0, waiting) * self.unit_ms
+        self.margin_ms = DOMAIN_MARGIN * service_ms
 
 
 @define
 class RoutingView:
-    """All endpoints that a coordinator may choose from."""
+    """All endpoints that a coordinator may choose from.
+
+    :param generation: changes whenever an endpoint's readiness or snapshots change.
+    """
 
     endpoints: dict[str, EndpointView] = field(factory=dict)
     services: dict[str, Service] = field(factory=dict)
+    generation: int = 0
+    owners: dict[str, OwnerView] = field(factory=dict)
+    coordinators: int = 1
+    _shared: dict[str, ServiceView] = field(factory=dict)
     _replicas: dict[tuple[str, str], list[EndpointView]] = field(factory=dict)
+    _refreshed_ms: float = float("-inf")
 
     def configure(self, configuration: Configuration) -> None:
         """Take the endpoints of a configuration; statuses of kept ones survive."""
         endpoints = {}
         replicas: dict[tuple[str, str], list[EndpointView]] = {}
         for service in configuration.services:
+            shared = self._shared.setdefault(service.name, ServiceView(0.0, service.typical_ms))
+            shared.limits_connect_ms = service.limits.connect_ms
             for endpoint in service.endpoints:
-                view = self.endpoints.get(endpoint.name) or EndpointView(endpoint)
+                view = self.endpoints.get(endpoint.name) or EndpointView(endpoint, self, shared)
                 view.endpoint = endpoint
+                view.service = shared
                 endpoints[endpoint.name] = view
                 for shard in endpoint.shards:
                     replicas.setdefault((service.name, shard), []).append(view)
         self.endpoints = endpoints
         self.services = {service.name: service for service in configuration.services}
         self._replicas = replicas
+        self.generation += 1
 
     def list_replicas(self, service: str, shard: str) -> list[EndpointView]:
         """Return the endpoints that serve a shard."""
         return self._replicas.get((service, shard), [])
 
-    def observe_status(self, status: EndpointStatus) -> None:
-        """Take an owner's status message."""
+    def get_owner(self, name: str) -> OwnerView:
+        """Return what is known of an owner."""
+        owner = self.owners.get(name)
+        if owner is None:
+            owner = self.owners[name] = OwnerView(name, heard_ms=self._refreshed_ms)
+        return owner
+
+    def refresh(self, now_ms: float) -> None:
+        """Let statuses of silent owners expire; cheap to call for every query."""
+        if now_ms < self._refreshed_ms + REFRESH_MS:
+            return
+        self._refreshed_ms = now_ms
+        names = set()
+        for view in self.endpoints.values():
+            names.add(view.owner_view.name)
+        self.owners = {name: owner for name, owner in self.owners.items() if name in names}
+        self.coordinators = max(1, len(names - {""}))
+        changed = False
+        for owner in self.owners.values():
+            expired = owner.expired
+            owner.refresh(now_ms)
+            changed = changed or expired != owner.expired
+        if not changed:
+            return
+        for view in self.endpoints.values():
+            view.update_readiness()
+
+    def observe_status(
+        self, status: EndpointStatus, sender: str | None = None, now_ms: float | None = None
+    ) -> None:
+        """Take an owner's status message.
+
+        :param sender: who sent it; ``None`` for the coordinator's own instance. A status
+            from an instance that does not own the endpoint is ignored.
+        :param now_ms: when it arrived; ``None`` if that is not known.
+        """
         view = self.endpoints.get(status.endpoint)
-        if view is not None:
-            view.status = status
+        if view is None:
+            return
+        if now_ms is not None:
+            self.refresh(now_ms)
+        owner = view.owner_view
+        if sender is None:
+            owner.local = True
+        elif sender != owner.name:
+            return
+        if now_ms is not None:
+            owner.heard_ms = now_ms
+        view.reported_ms = now_ms if now_ms is not None else self._refreshed_ms
+        view.status = status
+        view.status_owner = owner.name
+        view.warm = status.state == "warm"
+        view.sent_since = 0
+        view.slowness += SLOWNESS_RECOVERY * (1.0 - view.slowness)
+        view.update_estimate()
+        if len(view.snapshots) != len(status.snapshots) or not view.snapshots.issuperset(
+            status.snapshots
+        ):
+            view.snapshots = frozenset(status.snapshots)
+            self.generation += 1
+        view.update_readiness()
+
+    def observe_reply(
+        self, reply: SubReply, sender: str | None = None, now_ms: float | None = None
+    ) -> None:
+        """Take the queue figures that came with a reply.
 
-    def observe_reply(self, reply: SubReply) -> None:
-        """Take the queue figures that came with a reply."""
+        :param sender: who sent it; ``None`` for the coordinator's own instance.
+        :param now_ms: when it arrived; ``None`` if that is not known.
+        """
         view = self.endpoints.get(reply.endpoint)
-        if view is None or view.status is None:
+        if view is None:
+            return
+        owner = view.owner_view if sender is None else self.owners.get(sender)
+        if owner is None:
             return
-        view.status.queue = reply.queue
-        view.status.running = reply.running
-        view.status.limit = reply.limit
+        if now_ms is not None:
+            owner.heard_ms = owner.replied_ms = now_ms
+            # A reply refutes the suspicion that the owner is frozen.
+            if owner.avoided_until_ms > now_ms:
+                owner.avoided_until_ms = now_ms
+                owner.refresh_suspicion(now_ms)
+        # A reply without a limit comes from an instance that has no figures.
+        if owner is not view.owner_view or reply.limit <= 0:
+            return
+        if reply.error is None:
+            view.service.mean_ms += SHARED_WEIGHT * (reply.service_ms - view.service.mean_ms)
+        view.observe_figures(reply.queue, reply.running, reply.limit, now_ms or view.reported_ms)
+
+    def forget_snapshot(self, view: EndpointView, snapshot: SnapshotId) -> None:
+        """Take an endpoint's statement that it does not hold a snapshot."""
+        if snapshot in view.snapshots:
+            view.snapshots -= {snapshot}
+            self.generation += 1
 
     def count_usable(self) -> int:
         """Return how many endpoints could get new work now."""
         count = 0
         for view in self.endpoints.values():
-            if view.owner and view.status is not None and view.status.usable:
+            if view.ready:
                 count += 1
         return count
--- a/src/persimmonspur/daemon/controllers/queries.py
+++ b/src/persimmonspur/daemon/controllers/queries.py
@@ -14,7 +14,9 @@
 from persimmonspur.core.requests.coordination import Coordination, CoordinationContext
 from persimmonspur.daemon import events
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Handler, PeerMessage
+from persimmonspur.daemon.filters.chain import build_failure
 from persimmonspur.daemon.instance import Instance
+from persimmonspur.errors import ErrorKind, Failure
 from persimmonspur.model.messages import (
     Cancel,
     EndpointStatuses,
@@ -67,6 +69,11 @@
         :param priority: 0 is the most urgent.
         :param claim_partition: partition of the claim; -1 for repeatable requests.
         """
+        service = query.service
+        if service not in self._instance.view.services:
+            # The configuration may have changed while the query waited.
+            failure = Failure.of(ErrorKind.UNKNOWN_SERVICE, f"service: {service!r} is not declared")
+            return build_failure(query, failure)
         clock = self._instance.clock
         context: CoordinationContext = self._instance.coordination_context
         coordination = Coordination(query, priority, context, clock.now_ms(), claim_partition)
@@ -81,6 +88,7 @@
                     continue
                 run.wake_at_ms = float("inf")
                 self._execute(run, coordination.wake(clock.now_ms()))
+            self._measure(coordination)
             return run.answer
         finally:
             self.running -= 1
@@ -95,6 +103,15 @@
         self._replies.setdefault(receiver, []).append(reply)
         self._schedule_flush()
 
+    def _measure(self, coordination: Coordination) -> None:
+        metrics = self._instance.metrics
+        service = coordination.query.service
+        if coordination.restarted:
+            metrics.restarts.labels(service).inc()
+        if coordination.pinned is not None:
+            metrics.pinned_epoch.labels(service).set(coordination.pinned.snapshot.epoch)
+            metrics.pinned_version.labels(service).set(coordination.pinned.snapshot.version)
+
     def _execute(self, run: _Run, actions: list[CoordinationAction]) -> None:
         for action in actions:
             match action:
@@ -114,10 +131,14 @@
         request = action.request
         self._runs[request.id] = run
         run.request_ids.append(request.id)
-        kind = "hedge" if request.hedge else "first"
+        kind = action.kind
         self._instance.metrics.sub_requests.labels(request.service, kind).inc()
         self._instance.timeline.record(
-            events.SUB_REQUEST_SENT, request.query_id, sub_request=request.id, owner=action.owner
+            events.SUB_REQUEST_SENT,
+            request.query_id,
+            sub_request=request.id,
+            owner=action.owner,
+            kind=kind,
         )
         self._requests.setdefault(action.owner, []).append(request)
         self._schedule_flush()
@@ -147,17 +168,18 @@
             else:
                 self._instance.send(owner, Cancel(ids))
 
-    def _observe(self, reply: SubReply) -> None:
-        self._instance.view.observe_reply(reply)
-        run = self._runs.pop(reply.id, None)
+    def _observe(self, reply: SubReply, sender: str | None = None) -> None:
+        now_ms = self._instance.clock.now_ms()
+        self._instance.view.observe_reply(reply, sender, now_ms)
+        run = self._runs.get(reply.id)
         if run is not None:
-            now_ms = self._instance.clock.now_ms()
             self._execute(run, run.coordination.observe_reply(reply, now_ms))
 
     def _handle_replies(self, message: PeerMessage) -> None:
         for reply in message.body.items:
-            self._observe(reply)
+            self._observe(reply, message.sender)
 
     def _handle_statuses(self, message: PeerMessage) -> None:
+        now_ms = self._instance.clock.now_ms()
         for status in message.body.items:
-            self._instance.view.observe_status(status)
+            self._instance.view.observe_status(status, message.sender, now_ms)
--- a/src/persimmonspur/daemon/filters/chain.py
+++ b/src/persimmonspur/daemon/filters/chain.py
@@ -33,7 +33,17 @@
 FILTERS: Registry[Filter] = Registry("filter")
 
 # Registration order is import order, so the order of the chain is stated here.
-ORDER = ("measure", "ready", "leaving", "service", "priority", "deadline", "coordinate")
+# The filter "claim" goes between "deadline" and "coordinate".
+ORDER = (
+    "measure",
+    "ready",
+    "leaving",
+    "service",
+    "priority",
+    "admission",
+    "deadline",
+    "coordinate",
+)
 
 
 def run_chain(context: RequestContext) -> QueryAnswer:
--- a/src/persimmonspur/daemon/filters/standard.py
+++ b/src/persimmonspur/daemon/filters/standard.py
@@ -19,6 +19,11 @@
     instance.metrics.query_ms.labels(query.service, query.priority_class, result).observe(
         duration_ms
     )
+    if answer.failure is not None and answer.failure.ran is Ran.NO:
+        instance.metrics.rejections.labels(query.service, result).inc()
+    if answer.coverage.total > 0 and answer.snapshot is not None:
+        share = answer.coverage.covered / answer.coverage.total
+        instance.metrics.coverage.labels(query.service).observe(share)
     if not answer.coverage.complete:
         instance.metrics.incomplete.labels(query.service).inc()
     instance.timeline.record(
--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -8,6 +8,7 @@
 from persimmonspur.core.ownership.table import CellTable
 from persimmonspur.core.requests.coordination import CoordinationContext
 from persimmonspur.core.routing.view import RoutingView
+from persimmonspur.daemon.admission import AdmissionDesk
 from persimmonspur.daemon.controllers.registry import Controller, Handler, PeerMessage
 from persimmonspur.daemon.metrics import Metrics
 from persimmonspur.daemon.settings import Settings
@@ -68,8 +69,12 @@
         )
         self.cell = Cell(settings.cell, member)
         self.coordination_context = CoordinationContext(
-            self.view, settings.failure_domain, Random(settings.seed)
+            self.view,
+            settings.failure_domain,
+            Random(f"{settings.seed}/{settings.instance}"),
+            origin=f"{settings.instance}.{incarnation:x}",
         )
+        self.admission = AdmissionDesk(settings.concurrency, clock)
         self.leaving = False
         self._handlers: dict[type, Handler] = {}
         self._delays: dict[str, DelayEstimator] = {}
@@ -145,6 +150,8 @@
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration into effect."""
         self.view.configure(configuration)
+        self.coordination_context.limits.configure(configuration.classes)
+        self.admission.configure(configuration.classes)
         self.endpoint_calls.configure(configuration)
         self._update_owners()
         self.cells.execute(self.cell.configure(configuration, self.clock.now_ms()))
--- a/src/persimmonspur/daemon/metrics.py
+++ b/src/persimmonspur/daemon/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_MS = (1, 2, 5, 10, 20, 35, 50, 75, 100, 140, 200, 350, 500, 1_000, 2_500, 5_000)
+COVERAGE_BUCKETS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999, 1.0)
 
 
 class Metrics:
@@ -29,6 +30,38 @@
             ["service", "kind"],
             registry=self.registry,
         )
+        self.rejections = Counter(
+            "persimmonspur_rejections_total",
+            "Queries that were answered with an error and did not run, by kind",
+            ["service", "kind"],
+            registry=self.registry,
+        )
+        self.coverage = Histogram(
+            "persimmonspur_coverage",
+            "Covered share of the key space that queries asked for",
+            ["service"],
+            buckets=COVERAGE_BUCKETS,
+            registry=self.registry,
+        )
+        self.pinned_epoch = Gauge(
+            "persimmonspur_pinned_epoch",
+            "Epoch of the snapshot that the latest query pinned",
+            ["service"],
+            registry=self.registry,
+        )
+        self.pinned_version = Gauge(
+            "persimmonspur_pinned_version",
+            "Index version of the snapshot that the latest query pinned",
+            ["service"],
+            registry=self.registry,
+        )
+        self.restarts = Counter(
+            "persimmonspur_query_restarts_total",
+            "Queries that were restarted because their snapshot was lost",
+            ["service"],
+            registry=self.registry,
+        )
+        self.admitted = Gauge("persimmonspur_admitted", "Queries that ran when the latest one was admitted, itself included", registry=self.registry)
         self.peer_bytes = Gauge(
             "persimmonspur_peer_bytes",
             "Bytes of peer messages since the start",
--- a/src/persimmonspur/daemon/run.py
+++ b/src/persimmonspur/daemon/run.py
@@ -21,7 +21,7 @@
 from persimmonspur.daemon import events
 from persimmonspur.daemon.controllers import cell, configuration, endpoints, queries
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Controller
-from persimmonspur.daemon.filters import standard
+from persimmonspur.daemon.filters import admission, standard
 from persimmonspur.daemon.http import KEEP_MS, HttpSurface
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.daemon.settings import SETTINGS, Settings, load_settings
@@ -36,7 +36,7 @@
 LEAVE_MARGIN_MS = 1_000.0
 
 # Imported so that their parts register themselves.
-_REGISTERED = (cell, configuration, endpoints, queries, standard)
+_REGISTERED = (cell, configuration, endpoints, queries, admission, standard)
 
 
 class ServeCommand(Command):
