--- a/src/persimmonspur/adapters/http.py
+++ b/src/persimmonspur/adapters/http.py
@@ -1,6 +1,7 @@
 """HTTP clients and servers with the socket options that low latency needs."""
 
 from collections.abc import Callable
+from http.client import HTTPException
 from typing import Any
 
 import gevent
@@ -10,6 +11,10 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 
+# What the HTTP client raises when a call fails: sockets, broken or unreadable
+# responses, invalid URLs and a closed pool.
+HTTP_ERRORS = (OSError, HTTPException, ValueError, RuntimeError)
+
 
 class NoDelayPool(ConnectionPool):
     """Connections without Nagle's algorithm, counted.
@@ -53,12 +58,18 @@
 
 
 class NoDelayServer(WSGIServer):
-    """gevent's WSGI server without Nagle's algorithm."""
+    """gevent's WSGI server without Nagle's algorithm, with a count of open connections."""
+
+    open_connections = 0
 
     def handle(self, sock: gevent.socket.socket, address: Any) -> None:
         """Serve one connection."""
         sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
-        super().handle(sock, address)
+        self.open_connections += 1
+        try:
+            super().handle(sock, address)
+        finally:
+            self.open_connections -= 1
 
 
 def read_body(environ: dict[str, Any]) -> bytes:
--- a/src/persimmonspur/daemon/metrics.py
+++ b/src/persimmonspur/daemon/metrics.py
@@ -61,7 +61,11 @@
             ["service"],
             registry=self.registry,
         )
-        self.admitted = Gauge("persimmonspur_admitted", "Queries that ran when the latest one was admitted, itself included", registry=self.registry)
+        self.admitted = Gauge(
+            "persimmonspur_admitted",
+            "Queries that ran when the latest one was admitted, itself included",
+            registry=self.registry,
+        )
         self.peer_bytes = Gauge(
             "persimmonspur_peer_bytes",
             "Bytes of peer messages since the start",
