--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -8,6 +8,7 @@
 from persimmonspur.core.ownership.table import CellTable
 from persimmonspur.core.requests.coordination import CoordinationContext
 from persimmonspur.core.routing.view import RoutingView
+from persimmonspur.daemon.admission import AdmissionDesk
 from persimmonspur.daemon.controllers.registry import Controller, Handler, PeerMessage
 from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.daemon.metrics import Metrics
@@ -69,8 +70,12 @@
         )
         self.cell = Cell(settings.cell, member)
         self.coordination_context = CoordinationContext(
-            self.view, settings.failure_domain, Random(settings.seed)
+            self.view,
+            settings.failure_domain,
+            Random(f"{settings.seed}/{settings.instance}"),
+            origin=f"{settings.instance}.{incarnation:x}",
         )
+        self.admission = AdmissionDesk(settings.concurrency, clock)
         self.phase = Phase.STARTING
         self._handlers: dict[type, Handler] = {}
         self._delays: dict[str, DelayEstimator] = {}
@@ -152,6 +157,8 @@
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration into effect."""
         self.view.configure(configuration)
+        self.coordination_context.limits.configure(configuration.classes)
+        self.admission.configure(configuration.classes)
         self.endpoint_calls.configure(configuration)
         self._update_owners()
         now_ms = self.clock.now_ms()
