--- a/src/persimmonspur/core/endpoints/actions.py
+++ b/src/persimmonspur/core/endpoints/actions.py
@@ -10,10 +10,12 @@
     """Send a sub-request to the endpoint now.
 
     :param timeout_ms: time the endpoint may take, in milliseconds.
+    :param expires_ms: owner's monotonic time after which the endpoint must not run it.
     """
 
     request: SubRequest
     timeout_ms: float
+    expires_ms: float = 0.0
 
 
 @frozen
--- a/src/persimmonspur/model/outcome.py
+++ b/src/persimmonspur/model/outcome.py
@@ -27,6 +27,7 @@
 
     :param error: ``None`` on success.
     :param reset: whether the connection broke without a response.
+    :param closed: whether the connection cannot be used again.
     :param duration_ms: time from send to outcome, in milliseconds.
     """
 
@@ -38,3 +39,4 @@
     report: EndpointReport | None
     duration_ms: float
     reset: bool = False
+    closed: bool = False
