Share one connection bound per endpoint and hand warm-up levels over

Cause: requests that never left the owner were reported as unknown, the end of idle connections went unnoticed until the next request failed, and a budget changed hands without its warm-up level. The stand-in searcher finished its work and kept its connections over a restart and worked beyond the expiry, so it could not witness a cold overrun.

Ruled out: the HTTP library's own pool, which cannot tell whether a request was sent and reports closed idle connections only when they are used.

Conclusion: searches, cancellations and probes share one bounded set of connections whose idle members are watched.

--- a/src/persimmonspur/adapters/endpoints.py
+++ b/src/persimmonspur/adapters/endpoints.py
@@ -1,13 +1,15 @@
 """Calls to endpoints over HTTP."""
 
+from collections.abc import Callable
 from typing import Any
+from urllib.parse import quote
 
 import gevent
 import msgspec
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketResponse
 
-from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
+from persimmonspur.adapters.connections import EndpointConnections
+from persimmonspur.adapters.http import HTTP_ERRORS
 from persimmonspur.clock import Clock
 from persimmonspur.errors import ErrorKind, Ran
 from persimmonspur.model.configuration import Configuration, Endpoint, Limits
@@ -18,6 +20,8 @@
 CONTROL_TIMEOUT_MS = 1_000.0
 # One connection more than the slots, so that a cancellation need not wait for one.
 SPARE_CONNECTIONS = 1
+# Callers choose request ids, so that other characters are escaped in headers.
+_SAFE = "/:.-_~@+,;="
 
 _KINDS = {
     409: ErrorKind.SNAPSHOT_NOT_HELD,
@@ -35,14 +39,27 @@
         """Connect lazily."""
         self._clock = clock
         self._limits: dict[str, Limits] = {}
-        self._clients: dict[str, tuple[str, HTTPClient]] = {}
+        self._connections: dict[str, EndpointConnections] = {}
+        self._listener: Callable[[str], None] = _ignore
 
     def configure(self, configuration: Configuration) -> None:
         """Take the limits that bound the connections of each endpoint."""
         self._limits = {service.name: service.limits for service in configuration.services}
+        for service in configuration.services:
+            for endpoint in service.endpoints:
+                known = self._connections.get(endpoint.name)
+                if known is not None:
+                    known.size = self._find_size(endpoint)
+
+    def set_idle_listener(self, listener: Callable[[str], None]) -> None:
+        """Set what is called with an endpoint's name when it closes an idle connection."""
+        self._listener = listener
 
     def search(self, endpoint: Endpoint, request: SubRequest, timeout_ms: float) -> EndpointOutcome:
-        """Run a sub-request; never raises."""
+        """Run a sub-request; never raises.
+
+        Without a response, ``ran`` is ``no`` if nothing was sent and ``unknown`` otherwise.
+        """
         started_ms = self._clock.now_ms()
         headers = {
             "x-request-id": request.id,
@@ -55,21 +72,17 @@
             "content-type": "application/json",
         }
         body = msgspec.json.encode(request.body)
-        client = self._find_client(endpoint)
+        call = _Call(self._find_connections(endpoint), "POST", "/search", headers, body)
+        timeout = gevent.Timeout(timeout_ms / 1000)
         try:
-            with gevent.Timeout(timeout_ms / 1000):
-                response = client.request("POST", "/search", body=body, headers=headers)
-                data = bytes(response.read())
-        except gevent.Timeout:
-            return self._build_error(
-                ErrorKind.DEADLINE_EXCEEDED, "no response in time", started_ms, reset=False
-            )
-        except ConnectionRefusedError as error:
-            return self._build_error(
-                ErrorKind.UNREACHABLE, repr(error), started_ms, reset=True, ran=Ran.NO
-            )
+            with timeout:
+                response, data = call.run()
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            return self._build_error(call, ErrorKind.DEADLINE_EXCEEDED, "no response", started_ms)
         except HTTP_ERRORS as error:
-            return self._build_error(ErrorKind.UNREACHABLE, repr(error), started_ms, reset=True)
+            return self._build_error(call, ErrorKind.UNREACHABLE, repr(error), started_ms)
         return self._parse(response, data, started_ms)
 
     def cancel(self, endpoint: Endpoint, request_id: str) -> None:
@@ -83,9 +96,9 @@
 
     def forget(self, name: str) -> None:
         """Close the connections of an endpoint."""
-        known = self._clients.pop(name, None)
+        known = self._connections.pop(name, None)
         if known is not None:
-            known[1].close()
+            known.close()
 
     def _call_control(
         self,
@@ -95,37 +108,39 @@
         headers: dict[str, str],
         timeout_ms: float = CONTROL_TIMEOUT_MS,
     ) -> HTTPSocketResponse | None:
+        call = _Call(self._find_connections(endpoint), method, path, headers, b"")
         try:
             with gevent.Timeout(timeout_ms / 1000):
-                response = self._find_client(endpoint).request(method, path, headers=headers)
-                response.read()
+                return call.run()[0]
         except (gevent.Timeout, *HTTP_ERRORS):
             return None
-        return response
 
-    def _find_client(self, endpoint: Endpoint) -> HTTPClient:
-        known = self._clients.get(endpoint.name)
-        if known is not None and known[0] == endpoint.address:
-            return known[1]
+    def _find_connections(self, endpoint: Endpoint) -> EndpointConnections:
+        known = self._connections.get(endpoint.name)
+        if known is not None and known.address == endpoint.address:
+            return known
         self.forget(endpoint.name)
+        connections = EndpointConnections(
+            endpoint.address, self._find_size(endpoint), lambda: self._listener(endpoint.name)
+        )
+        self._connections[endpoint.name] = connections
+        return connections
+
+    def _find_size(self, endpoint: Endpoint) -> int:
         limits = self._limits.get(endpoint.service)
-        slots = limits.slots if limits is not None else 1
-        concurrency = slots + SPARE_CONNECTIONS
-        client = connect_client(endpoint.address, concurrency, 30_000.0)
-        self._clients[endpoint.name] = (endpoint.address, client)
-        return client
+        if limits is None:
+            return 1 + SPARE_CONNECTIONS
+        return max(1, min(limits.connections, limits.slots + SPARE_CONNECTIONS))
 
     def _build_error(
-        self,
-        kind: ErrorKind,
-        message: str,
-        started_ms: float,
-        *,
-        reset: bool,
-        ran: Ran = Ran.UNKNOWN,
+        self, call: "_Call", kind: ErrorKind, message: str, started_ms: float
     ) -> EndpointOutcome:
         duration_ms = self._clock.now_ms() - started_ms
-        return EndpointOutcome(kind, message, ran, None, None, None, duration_ms, reset)
+        ran = Ran.UNKNOWN if call.sent else Ran.NO
+        reset = kind is ErrorKind.UNREACHABLE
+        return EndpointOutcome(
+            kind, message, ran, None, None, None, duration_ms, reset, closed=True
+        )
 
     def _parse(
         self, response: HTTPSocketResponse, data: bytes, started_ms: float
@@ -150,6 +165,40 @@
         return EndpointOutcome(None, "", Ran.YES, records, snapshot, report, duration_ms)
 
 
+class _Call:
+    """One HTTP exchange.
+
+    :param sent: whether the endpoint may have received the request.
+    """
+
+    def __init__(
+        self,
+        connections: EndpointConnections,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        self.sent = False
+        self._connections = connections
+        self._method = method
+        lines = [f"{method} {path} HTTP/1.1", f"host: {connections.address}"]
+        lines.append(f"content-length: {len(body)}")
+        for name, value in headers.items():
+            lines.append(f"{name}: {quote(value, safe=_SAFE)}")
+        self._data = "\r\n".join([*lines, "", ""]).encode("ascii") + body
+
+    def run(self) -> tuple[HTTPSocketResponse, bytes]:
+        sock = self._connections.acquire()
+        self.sent = True
+        response = self._connections.exchange(sock, self._data, self._method)
+        return response, bytes(response.read())
+
+
+def _ignore(name: str) -> None:
+    """Ignore a closed connection until a listener is set."""
+
+
 def _parse_ran(value: Any) -> Ran:
     return Ran(value) if value in ("yes", "no") else Ran.UNKNOWN
 
--- a/src/persimmonspur/core/endpoints/gate.py
+++ b/src/persimmonspur/core/endpoints/gate.py
@@ -79,6 +79,7 @@
         self._probe_sent_ms = 0.0
         self._probing = False
         self._releasing = False
+        self._used = False
 
     def extend(self, usable_until_ms: float, now_ms: float) -> list[GateAction]:
         """Set until when the owner may use the budget; 0 withdraws the right."""
@@ -108,7 +109,7 @@
 
         :param incarnation: the endpoint's; another one makes it cold again.
         """
-        if self._incarnation not in ("", incarnation) or self._slots:
+        if self._incarnation not in ("", incarnation) or self._used:
             return
         self._incarnation = incarnation
         self._warmup.restore(level)
@@ -118,6 +119,11 @@
         self._releasing = True
         return self._advance(now_ms)
 
+    def resume(self, now_ms: float) -> list[GateAction]:
+        """Take work again: the budget came back before it was released."""
+        self._releasing = False
+        return self._advance(now_ms)
+
     def hand_over(self) -> ReleasedBudget:
         """Return what the next owner needs to know."""
         return ReleasedBudget(self.endpoint.name, self._warmup.level, self._incarnation)
@@ -263,6 +269,7 @@
         expires_ms = min(entry.deadline_ms, self._usable_until_ms) - MARGIN_MS
         if expires_ms <= now_ms:
             return self._reject(request, ErrorKind.DEADLINE_EXCEEDED, now_ms)
+        self._used = True
         new_connection = self._connections.take()
         self._slots[request.id] = _Slot(
             request, now_ms, expires_ms, self._warmup.period, new_connection
--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -1,6 +1,7 @@
 """Runs the gates of the endpoints that this instance owns."""
 
 import gevent
+from attrs import frozen
 from gevent.pool import Pool
 
 from persimmonspur.core.endpoints.actions import (
@@ -12,14 +13,16 @@
 )
 from persimmonspur.core.endpoints.gate import EndpointGate
 from persimmonspur.core.ownership.actions import ReleaseBudgets
+from persimmonspur.core.ownership.rendezvous import hash_key
 from persimmonspur.daemon import events
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Handler, PeerMessage
+from persimmonspur.daemon.controllers.statuses import StatusPublisher
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.errors import ErrorKind, Ran
+from persimmonspur.model.configuration import Endpoint, Service
 from persimmonspur.model.messages import (
     Cancel,
-    EndpointStatus,
-    EndpointStatuses,
+    Release,
     ReleasedBudget,
     SubReply,
     SubRequest,
@@ -29,9 +32,19 @@
 
 TICK_MS = 20.0
 STATUS_TICKS = 10
-# All statuses are sent again this often, since a status message can be lost.
-REFRESH_TICKS = 50
 PROBE_TIMEOUT_MS = 1_000.0
+# Longer than any query: after that no message of it is on the way.
+CLAIMED_MS = 120_000.0
+# A handed-over level that no table change used by then is out of date.
+HANDED_MS = 60_000.0
+
+
+@frozen
+class _Origin:
+    """Who sent a sub-request, and to which endpoint."""
+
+    sender: str
+    endpoint: str
 
 
 @CONTROLLERS.register("endpoints")
@@ -41,14 +54,18 @@
     def __init__(self, instance: Instance) -> None:
         self._instance = instance
         self._gates: dict[str, EndpointGate] = {}
-        self._origins: dict[str, str] = {}
-        self._published: dict[str, EndpointStatus] = {}
-        self._probing: set[str] = set()
+        self._retired: set[str] = set()
+        self._releases: dict[str, ReleaseBudgets] = {}
+        self._handed: dict[str, tuple[float, ReleasedBudget]] = {}
+        self._origins: dict[str, _Origin] = {}
+        self._claimed: dict[str, float] = {}
+        self._statuses = StatusPublisher(instance)
         self._calls = Pool()
         self._loop: gevent.Greenlet[[], None] | None = None
 
     def start(self) -> None:
         """Start to tick."""
+        self._instance.endpoint_calls.set_idle_listener(self._observe_idle_closed)
         self._loop = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -62,11 +79,11 @@
 
     @property
     def busy(self) -> bool:
-        """Whether sub-requests wait or run."""
-        return any(gate.busy for gate in self._gates.values())
+        """Whether sub-requests wait or run, or a budget waits to be released."""
+        return bool(self._releases) or any(gate.busy for gate in self._gates.values())
 
     def refresh(self) -> None:
-        """Create and drop gates after a new table or configuration."""
+        """Create and retire gates after a new table or configuration."""
         configuration = self._instance.holder.configuration
         if configuration is None:
             return
@@ -80,35 +97,56 @@
                 owned.add(endpoint.name)
                 gate = self._gates.get(endpoint.name)
                 if gate is None:
-                    gate = EndpointGate(endpoint, service.limits, service.typical_ms)
-                    self._gates[endpoint.name] = gate
+                    gate = self._create(endpoint, service, now_ms)
                 desired = configuration.find_endpoint_desired(endpoint)
                 self._execute(gate, gate.configure(endpoint, service.limits, desired, now_ms))
-        for name in set(self._gates) - owned:
-            gate = self._gates[name]
-            self._execute(gate, gate.extend(0.0, now_ms))
-            if not gate.busy:
-                del self._gates[name]
-                self._published.pop(name, None)
+        for name in self._retired & owned:
+            self._releases.pop(name, None)
+            self._execute(self._gates[name], self._gates[name].resume(now_ms))
+        self._retired = set(self._gates) - owned
+        for name in self._retired:
+            self._execute(self._gates[name], self._gates[name].begin_release(now_ms))
         self._tick_all()
 
     def release(self, action: ReleaseBudgets) -> None:
-        """Give up budgets and tell their new owner."""
+        """Give up budgets once nothing runs at their endpoints, and tell the new owner."""
+        now_ms = self._instance.clock.now_ms()
+        for name in action.endpoints:
+            gate = self._gates.get(name)
+            self._releases[name] = action
+            if gate is not None:
+                self._execute(gate, gate.begin_release(now_ms))
+        self._settle()
 
     def take_over(self, budgets: list[ReleasedBudget]) -> None:
         """Take the state of budgets that their former owner gave up."""
+        now_ms = self._instance.clock.now_ms()
+        for budget in budgets:
+            gate = self._gates.get(budget.endpoint)
+            if gate is not None:
+                gate.restore(budget.level, budget.incarnation)
+            else:
+                self._handed[budget.endpoint] = (now_ms, budget)
 
-    def offer(self, sender: str, requests: list[SubRequest], age_ms: float) -> None:
+    def offer(
+        self, sender: str, requests: list[SubRequest], age_ms: float, incarnation: int | None = None
+    ) -> None:
         """Take sub-requests of a coordinator.
 
         :param age_ms: time that the message was on the way, in milliseconds.
+        :param incarnation: the sender's; this instance's own if ``None``.
         """
         now_ms = self._instance.clock.now_ms()
         for request in requests:
             request.timeout_ms -= age_ms
-            self._origins[request.id] = sender
+            # A repeated message must neither run nor answer for the first one.
+            if request.id in self._origins or request.id in self._claimed:
+                continue
+            self._origins[request.id] = _Origin(sender, request.endpoint)
+            if not request.repeatable:
+                self._claimed[request.id] = now_ms
             gate = self._gates.get(request.endpoint)
-            if gate is None:
+            if gate is None or not self._may_claim(sender, incarnation, request):
                 self._reply(_build_not_owner(request))
                 continue
             self._execute(gate, gate.offer(request, now_ms))
@@ -117,11 +155,33 @@
         """Withdraw sub-requests."""
         now_ms = self._instance.clock.now_ms()
         for request_id in request_ids:
-            if request_id not in self._origins:
-                continue
-            for gate in self._gates.values():
+            origin = self._origins.get(request_id)
+            gate = self._gates.get(origin.endpoint) if origin is not None else None
+            if gate is not None:
                 self._execute(gate, gate.cancel(request_id, now_ms))
 
+    def observe_member(self, name: str, incarnation: int, configuration_version: int) -> None:
+        """Take the versions that came with a peer's message."""
+        self._statuses.inform(name, incarnation, configured=configuration_version > 0)
+
+    def _create(self, endpoint: Endpoint, service: Service, now_ms: float) -> EndpointGate:
+        seed = hash_key(self._instance.settings.instance, endpoint.name)
+        gate = EndpointGate(endpoint, service.limits, service.typical_ms, seed)
+        handed_ms, budget = self._handed.pop(endpoint.name, (0.0, None))
+        if budget is not None and now_ms - handed_ms < HANDED_MS:
+            gate.restore(budget.level, budget.incarnation)
+        self._gates[endpoint.name] = gate
+        return gate
+
+    def _may_claim(self, sender: str, incarnation: int | None, request: SubRequest) -> bool:
+        """Whether the sender holds the claim of a non-repeatable sub-request."""
+        if request.repeatable:
+            return True
+        owner = self._instance.cell.find_claim_owner(request.claim_partition)
+        if owner is None or owner.name != sender:
+            return False
+        return owner.incarnation == (incarnation or self._instance.incarnation)
+
     def _run(self) -> None:
         ticks = 0
         while True:
@@ -129,7 +189,7 @@
             ticks += 1
             self._tick_all()
             if ticks % STATUS_TICKS == 0:
-                self._publish(everything=ticks % REFRESH_TICKS == 0)
+                self._publish()
 
     def _tick_all(self) -> None:
         now_ms = self._instance.clock.now_ms()
@@ -137,20 +197,40 @@
             usable_until_ms = self._instance.cell.usable_until(name, now_ms)
             self._execute(gate, gate.extend(usable_until_ms, now_ms))
             self._execute(gate, gate.tick(now_ms))
+        self._settle()
 
-    def _publish(self, *, everything: bool) -> None:
-        now_ms = self._instance.clock.now_ms()
-        changed = []
-        for name, gate in self._gates.items():
-            status = gate.get_status(now_ms)
-            self._instance.view.observe_status(status)
-            published = self._published.get(name)
-            if not everything and published is not None and not _differs(published, status):
+    def _settle(self) -> None:
+        """Send the releases that are due and drop gates that are no longer needed."""
+        for name, action in list(self._releases.items()):
+            gate = self._gates.get(name)
+            if gate is not None and not gate.settled:
                 continue
-            self._published[name] = status
-            changed.append(status)
-        if changed:
-            self._instance.broadcast(EndpointStatuses(changed))
+            del self._releases[name]
+            # Closed first, so that two owners together stay within the connections.
+            self._instance.endpoint_calls.forget(name)
+            budget = gate.hand_over() if gate is not None else ReleasedBudget(name, 0, "")
+            self._instance.send(action.receiver, Release(action.version, [budget], {}))
+        for name in list(self._retired):
+            gate = self._gates[name]
+            if gate.settled and name not in self._releases:
+                self._retired.discard(name)
+                del self._gates[name]
+                self._statuses.forget(name)
+                self._instance.endpoint_calls.forget(name)
+
+    def _publish(self) -> None:
+        now_ms = self._instance.clock.now_ms()
+        owned = [gate for name, gate in self._gates.items() if name not in self._retired]
+        self._statuses.publish([gate.get_status(now_ms) for gate in owned], now_ms)
+        for request_id, received_ms in list(self._claimed.items()):
+            if now_ms - received_ms < CLAIMED_MS:
+                break
+            del self._claimed[request_id]
+
+    def _observe_idle_closed(self, name: str) -> None:
+        gate = self._gates.get(name)
+        if gate is not None:
+            self._execute(gate, gate.observe_idle_closed(self._instance.clock.now_ms()))
 
     def _execute(self, gate: EndpointGate, actions: list[GateAction]) -> None:
         for action in actions:
@@ -163,62 +243,49 @@
                     endpoint_calls = self._instance.endpoint_calls
                     gevent.spawn(endpoint_calls.cancel, gate.endpoint, action.request_id)
                 case Probe():
-                    if gate.endpoint.name not in self._probing:
-                        self._probing.add(gate.endpoint.name)
-                        gevent.spawn(self._probe, gate)
+                    gevent.spawn(self._probe, gate)
 
     def _dispatch(self, gate: EndpointGate, action: Dispatch) -> None:
         request = action.request
+        outcome = self._send(gate, action)
+        self._execute(gate, gate.complete(request.id, outcome, self._instance.clock.now_ms()))
+
+    def _send(self, gate: EndpointGate, action: Dispatch) -> EndpointOutcome:
+        request = action.request
+        name = gate.endpoint.name
         now_ms = self._instance.clock.now_ms()
         # The greenlet may have waited, or the whole process may have been
         # paused, since the gate decided to send.
-        usable_ms = self._instance.cell.usable_until(gate.endpoint.name, now_ms) - now_ms
+        usable_ms = self._instance.cell.usable_until(name, now_ms) - now_ms
         if usable_ms <= 0:
-            self._instance.timeline.record(
-                events.DISPATCH_REFUSED, request.query_id, endpoint=gate.endpoint.name
-            )
-            outcome = EndpointOutcome(
-                ErrorKind.NOT_OWNER, "validity expired", Ran.NO, None, None, None, 0.0
-            )
-        else:
-            self._instance.timeline.record(
-                events.DISPATCHED,
-                request.query_id,
-                sub_request=request.id,
-                endpoint=gate.endpoint.name,
-            )
-            outcome = self._instance.endpoint_calls.search(
-                gate.endpoint, request, min(action.timeout_ms, usable_ms)
-            )
-        now_ms = self._instance.clock.now_ms()
-        self._execute(gate, gate.complete(request.id, outcome, now_ms))
+            self._instance.timeline.record(events.DISPATCH_REFUSED, request.query_id, endpoint=name)
+            return _build_unsent(ErrorKind.NOT_OWNER, "validity expired")
+        timeout_ms = min(action.expires_ms - now_ms, usable_ms)
+        if timeout_ms <= 0:
+            return _build_unsent(ErrorKind.DEADLINE_EXCEEDED, "no time left to send")
+        self._instance.timeline.record(
+            events.DISPATCHED, request.query_id, sub_request=request.id, endpoint=name
+        )
+        return self._instance.endpoint_calls.search(gate.endpoint, request, timeout_ms)
 
     def _probe(self, gate: EndpointGate) -> None:
-        try:
-            report = self._instance.endpoint_calls.fetch_report(gate.endpoint, PROBE_TIMEOUT_MS)
-        finally:
-            self._probing.discard(gate.endpoint.name)
+        report = self._instance.endpoint_calls.fetch_report(gate.endpoint, PROBE_TIMEOUT_MS)
         self._execute(gate, gate.observe_report(report, self._instance.clock.now_ms()))
 
     def _reply(self, reply: SubReply) -> None:
-        sender = self._origins.pop(reply.id, None)
-        if sender is not None:
-            self._instance.queries.deliver(sender, reply)
+        origin = self._origins.pop(reply.id, None)
+        if origin is not None:
+            self._instance.queries.deliver(origin.sender, reply)
 
     def _handle_requests(self, message: PeerMessage) -> None:
-        self.offer(message.sender, message.body.items, message.age_ms)
+        self.offer(message.sender, message.body.items, message.age_ms, message.incarnation)
 
     def _handle_cancel(self, message: PeerMessage) -> None:
         self.cancel(message.body.ids)
 
 
-def _differs(published: EndpointStatus, status: EndpointStatus) -> bool:
-    return (
-        published.state != status.state
-        or published.usable != status.usable
-        or published.snapshots != status.snapshots
-        or published.limit != status.limit
-    )
+def _build_unsent(kind: ErrorKind, message: str) -> EndpointOutcome:
+    return EndpointOutcome(kind, message, Ran.NO, None, None, None, 0.0)
 
 
 def _build_not_owner(request: SubRequest) -> SubReply:
--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -121,6 +121,9 @@
             self.cell.observe_version(envelope.sender, envelope.table_version, now_ms)
         )
         self.configurations.observe_version(envelope.sender, envelope.configuration_version)
+        self.endpoints.observe_member(
+            envelope.sender, envelope.incarnation, envelope.configuration_version
+        )
 
     def send(self, receiver: str, body: Body) -> bool:
         """Send a message to a peer; it may be lost."""
--- a/src/persimmonspur/ports.py
+++ b/src/persimmonspur/ports.py
@@ -3,6 +3,7 @@
 A deployment on another platform, or a test bench, implements these.
 """
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Protocol
 
@@ -95,6 +96,14 @@
         """Return the endpoint's report, or ``None`` if it does not answer."""
         ...
 
+    def set_idle_listener(self, listener: Callable[[str], None]) -> None:
+        """Set what is called with an endpoint's name when it closes an idle connection."""
+        ...
+
+    def forget(self, name: str) -> None:
+        """Close the connections of an endpoint."""
+        ...
+
 
 class PeerTransport(Protocol):
     """Messages between instances; they may be lost, repeated, delayed or reordered."""
--- a/src/persimmonspur/standins/searcher.py
+++ b/src/persimmonspur/standins/searcher.py
@@ -43,8 +43,10 @@
     :param most_running: highest concurrent work that was offered.
     :param overruns: requests offered above the slots, or above the cold limit.
     :param connection_overruns: connections above the limit.
+    :param last_request_ms: wall-clock time of the last request in milliseconds.
+    :param drained_requests: requests that arrived while the searcher was draining.
+    :param last_drained_ms: time of the last of them after the drain began, in milliseconds.
     :param runs: times that each non-repeatable request ran, by request and shard.
-    :param run_ids: sub-requests that ran, by id.
     """
 
     requests: int = 0
@@ -59,6 +61,10 @@
     most_connections: int = 0
     connection_overruns: int = 0
     last_request_ms: float = 0.0
+    drained_requests: int = 0
+    last_drained_ms: float = 0.0
+    restarts: int = 0
+    expired: int = 0
     runs: dict[str, int] = field(factory=dict)
 
 
@@ -82,7 +88,8 @@
         self._successes = COLD_SUCCESSES * spec.slots
         self._running = 0
         self._down_until_ms = 0.0
-        self._cancels: dict[str, Event] = {}
+        self._draining_since_ms = 0.0
+        self._cancels: dict[str, _Work] = {}
         self._server: _SearcherServer | None = None
 
     def serve(self) -> str:
@@ -100,6 +107,8 @@
         """Lose all warmth, as after a restart that nobody announced."""
         self._incarnation += 1
         self._successes = 0
+        self.counts.restarts += 1
+        self._lose_work()
 
     @property
     def cold_limit(self) -> int:
@@ -113,9 +122,13 @@
 
     def control(self, change: dict[str, Any]) -> None:
         """Apply changes: ``draining``, ``slowdown``, ``down``, ``snapshots``, ``cold``..."""
+        if change.get("draining") and not self.draining:
+            self._draining_since_ms = self._clock.now_ms()
         for name in ("draining", "slowdown", "down", "shedding"):
             if name in change:
                 setattr(self, name, change[name])
+        if change.get("down"):
+            self._lose_work()
         if "snapshots" in change:
             self.spec.snapshots = change["snapshots"]
         if "shards" in change:
@@ -132,11 +145,21 @@
         if path == "/search":
             return self._search(environ, body, start_response)
         if path == "/cancel":
-            event = self._cancels.get(environ.get("HTTP_X_REQUEST_ID", ""))
-            if event is not None:
-                event.set()
+            work = self._cancels.get(environ.get("HTTP_X_REQUEST_ID", ""))
+            if work is not None:
+                work.ended.set()
         return self._respond(start_response, 200, {})
 
+    def _lose_work(self) -> None:
+        # A process that ends takes its work and its connections with it.
+        for work in list(self._cancels.values()):
+            work.lost = True
+            work.ended.set()
+        self._cancels.clear()
+        self._running = 0
+        if self._server is not None:
+            self._server.cut_connections()
+
     def _search(
         self, environ: dict[str, Any], body: bytes, start_response: StartResponse
     ) -> list[bytes]:
@@ -147,6 +170,8 @@
         snapshot = environ.get("HTTP_X_SNAPSHOT", "")
         shard = self.spec.shards.get(environ.get("HTTP_X_SHARD", ""))
         if self.draining:
+            counts.drained_requests += 1
+            counts.last_drained_ms = self._clock.now_ms() - self._draining_since_ms
             return self._respond(start_response, 503, {"message": "draining"}, "no")
         if shard is None or snapshot not in self.spec.snapshots:
             return self._respond(start_response, 409, {"message": "not held"}, "no")
@@ -157,17 +182,25 @@
         document = msgspec.json.decode(body) if body else None
         document = document if isinstance(document, dict) else {}
         if document.get("once"):
+            # Every attempt has an id of its own, so that runs are counted by
+            # the caller's request and the shard.
             key = request_id.rpartition("/")[0]
             counts.runs[key] = counts.runs.get(key, 0) + 1
-        if self._work(request_id, float(document.get("work_ms", self.spec.work_ms))):
-            counts.cancelled += 1
-            return self._respond(start_response, 499, {"message": "cancelled"}, "yes")
+        work_ms = float(document.get("work_ms", self.spec.work_ms))
+        ending = self._work(request_id, work_ms, self._read_remaining(environ))
+        if ending is not None:
+            status, ran = ending
+            return self._respond(start_response, status, {"message": "not finished"}, ran)
         counts.completed += 1
         self._successes += 1
         version = int(snapshot.partition(".")[2])
         records = list_records(self.spec.service, version, *shard, int(document.get("top", 10)))
         return self._respond(start_response, 200, {"records": records}, snapshot=snapshot)
 
+    def _read_remaining(self, environ: dict[str, Any]) -> float:
+        expires_ms = float(environ.get("HTTP_X_EXPIRES_AT_MS", "inf"))
+        return expires_ms - self._clock.wall_ms()
+
     def _admit(self) -> bool:
         counts = self.counts
         counts.most_running = max(counts.most_running, self._running + 1)
@@ -186,15 +219,29 @@
             return False
         return True
 
-    def _work(self, request_id: str, work_ms: float) -> bool:
+    def _work(self, request_id: str, work_ms: float, remaining_ms: float) -> tuple[int, str] | None:
+        """Work on a request.
+
+        :param remaining_ms: time until its absolute expiry, at which the work stops.
+        :returns: status and ``x-ran`` if it did not finish.
+        """
+        counts = self.counts
         self._running += 1
-        cancelled = self._cancels[request_id] = Event()
+        work = _Work()
+        self._cancels[request_id] = work
         duration_ms = work_ms * self._rng.lognormvariate(-0.045, 0.3) * self.slowdown
-        try:
-            return bool(cancelled.wait(duration_ms / 1000))
-        finally:
-            self._running -= 1
-            self._cancels.pop(request_id, None)
+        stopped = work.ended.wait(min(duration_ms, max(0.0, remaining_ms)) / 1000)
+        if work.lost:
+            raise ConnectionResetError("the process ended")
+        self._running -= 1
+        self._cancels.pop(request_id, None)
+        if stopped:
+            counts.cancelled += 1
+            return 499, "yes"
+        if duration_ms > remaining_ms:
+            counts.expired += 1
+            return 504, "yes"
+        return None
 
     def _respond(
         self,
@@ -217,9 +264,30 @@
         return respond_json(start_response, status, document, headers)
 
 
+@define(eq=False)
+class _Work:
+    """Work in progress.
+
+    :param lost: whether the process that did it ended.
+    """
+
+    ended: Event = field(factory=Event)
+    lost: bool = False
+
+
 class _SearcherServer(NoDelayServer):
     searcher: Searcher
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._sockets: set[gevent.socket.socket] = set()
+
+    def cut_connections(self) -> None:
+        """Break all connections, as the end of a process does."""
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(gevent.socket.SHUT_RDWR)
+
     def handle(self, sock: gevent.socket.socket, address: Any) -> None:
         counts = self.searcher.counts
         if self.searcher.unreachable:
@@ -230,8 +298,10 @@
         counts.most_connections = max(counts.most_connections, counts.connections)
         if counts.connections > self.searcher.spec.connections:
             counts.connection_overruns += 1
+        self._sockets.add(sock)
         try:
             gevent.sleep(self.searcher.spec.connect_ms / 1000)
             super().handle(sock, address)
         finally:
+            self._sockets.discard(sock)
             counts.connections -= 1
