Store the configuration as parts under a small root

Cause: the whole configuration was one JSON object in config/root, there was no operators' file, and every instance held a watch on the root.

Now an operators' file is validated as a whole, the stored form is immutable parts plus a root that names them, and a publication state machine settles lost replies by reading the root back.

The object API client leaked a connection slot for each call that was timed out while it was sending, and repeated reads on its own after a cut connection; it now renews its connections and leaves repetition to callers.

The replicas of a shard of shopdesk shared a failure domain, since 10 shards over 4 failure domains repeat every second row; rows are shifted now.

--- a/src/persimmonspur/adapters/objectapi.py
+++ b/src/persimmonspur/adapters/objectapi.py
@@ -1,51 +1,84 @@
 """The object API and the instance list over HTTP."""
 
+from http.client import HTTPException
 from urllib.parse import quote
 
 import gevent
 import msgspec
 from expression import Error, Ok, Result
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPSocketPoolResponse
 
 from persimmonspur.adapters.http import connect_client
 from persimmonspur.errors import ErrorKind, Failure, Ran
 from persimmonspur.ports import InstanceListing, ListedState, StoredObject
 
 CALL_TIMEOUT_MS = 2_000.0
+WATCH_SOCKET_MS = 120_000.0
 CONNECTIONS = 6
 
 
+class _Channel:
+    """Connections for one kind of call."""
+
+    def __init__(self, address: str, socket_ms: float) -> None:
+        self._address = address
+        self._socket_ms = socket_ms
+        self.client = self._connect()
+
+    def renew(self) -> None:
+        """Replace all connections.
+
+        The client library does not give a connection back when a call is timed out
+        while it sends, so after a few such calls none would be left.
+        """
+        self.client.close()
+        self.client = self._connect()
+
+    def _connect(self) -> HTTPClient:
+        client = connect_client(self._address, CONNECTIONS, self._socket_ms)
+        # The library repeats reads after a cut connection, up to once more than this
+        # number. Every call counts towards the rates of the object API, so that is
+        # left to callers, which wait before they repeat.
+        client._connection_pool.size = -1
+        return client
+
+
 class HttpObjectApi:
     """Implements :class:`persimmonspur.ports.ObjectApi` and ``InstanceList``.
 
     ``GET /objects/KEY`` returns the value with its version in ``x-version``;
-    ``PUT`` takes the expected version in ``x-expected-version``;
-    ``GET /watch/KEY?after=V&timeout_ms=T`` waits for a later version.
+    ``POST`` takes the expected version in ``x-expected-version`` and replaces it;
+    ``GET /watch/KEY?after=V&timeout_ms=T`` waits for a later version. Every call
+    names its client in ``x-client``. No call raises, and no write is repeated here:
+    only its caller can find out whether it took effect.
     """
 
-    def __init__(self, address: str, timeout_ms: float = CALL_TIMEOUT_MS) -> None:
+    def __init__(
+        self, address: str, timeout_ms: float = CALL_TIMEOUT_MS, client: str = "persimmonspur"
+    ) -> None:
         """Connect lazily.
 
         :param address: ``ip:port``.
         :param timeout_ms: limit for one call in milliseconds, watches excepted.
+        :param client: name under which the object API counts the calls.
         """
+        self._headers = {"x-client": client}
         self._timeout_ms = timeout_ms
-        self._client = connect_client(address, CONNECTIONS, timeout_ms)
-        self._watch_client = connect_client(address, CONNECTIONS, 120_000.0)
+        self._calls = _Channel(address, timeout_ms)
+        self._watches = _Channel(address, WATCH_SOCKET_MS)
         self.calls = 0
 
     def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """Return the present object, or ``None`` if there is none."""
-        called = self._call(
-            self._client, "GET", f"/objects/{quote(key)}", b"", {}, self._timeout_ms
-        )
+        called = self._call(self._calls, "GET", f"/objects/{quote(key)}", b"", {}, self._timeout_ms)
         return called.bind(lambda response: _parse_object(key, *response))
 
     def write(self, key: str, value: bytes, expected_version: int) -> Result[int, Failure]:
         """Replace the object if its version is the expected one."""
         headers = {"x-expected-version": str(expected_version)}
         called = self._call(
-            self._client, "PUT", f"/objects/{quote(key)}", value, headers, self._timeout_ms
+            self._calls, "POST", f"/objects/{quote(key)}", value, headers, self._timeout_ms
         )
         return called.bind(_parse_written)
 
@@ -54,22 +87,23 @@
     ) -> Result[StoredObject | None, Failure]:
         """Wait until the object's version exceeds one; ``None`` on timeout."""
         path = f"/watch/{quote(key)}?after={after_version}&timeout_ms={timeout_ms:.0f}"
-        called = self._call(self._watch_client, "GET", path, b"", {}, timeout_ms + 5_000)
+        limit_ms = timeout_ms + self._timeout_ms
+        called = self._call(self._watches, "GET", path, b"", {}, limit_ms)
         return called.bind(lambda response: _parse_object(key, *response))
 
     def list_instances(self) -> Result[InstanceListing, Failure]:
         """Return the platform's list of instances."""
-        called = self._call(self._client, "GET", "/instances", b"", {}, self._timeout_ms)
+        called = self._call(self._calls, "GET", "/instances", b"", {}, self._timeout_ms)
         return called.bind(_parse_listing)
 
     def close(self) -> None:
         """Close all connections."""
-        self._client.close()
-        self._watch_client.close()
+        self._calls.client.close()
+        self._watches.client.close()
 
     def _call(
         self,
-        client: HTTPClient,
+        channel: _Channel,
         method: str,
         path: str,
         body: bytes,
@@ -77,25 +111,47 @@
         timeout_ms: float,
     ) -> Result[tuple[int, int, bytes], Failure]:
         self.calls += 1
+        limit = gevent.Timeout(timeout_ms / 1000)
         try:
-            with gevent.Timeout(timeout_ms / 1000):
-                # PUT would be repeated by the client library after a broken
-                # connection; a conditional update must be settled by its caller.
-                response = client.request(
-                    "POST" if method == "PUT" else method, path, body=body, headers=headers
+            with limit:
+                # Writes are POST: the client library repeats PUT by itself after a broken
+                # connection, and a conditional update must be settled by its caller.
+                response = channel.client.request(
+                    method, path, body=body, headers=headers | self._headers
                 )
-                data = bytes(response.read())
+                data = _read_all(response)
                 version = int(str(response.get("x-version", "0")))
                 return Ok((response.status_code, version, data))
-        except (OSError, gevent.Timeout, ValueError, RuntimeError) as error:
-            return Error(
-                Failure.of(ErrorKind.STORE_UNAVAILABLE, f"object API: {method} {path}: {error!r}")
-            )
+        except gevent.Timeout as error:
+            if error is not limit:
+                raise
+            channel.renew()
+            return Error(_describe_call(method, path, f"no answer within {timeout_ms:.0f} ms"))
+        except (OSError, ValueError, RuntimeError, HTTPException) as error:
+            return Error(_describe_call(method, path, repr(error)))
+
+
+def _read_all(response: HTTPSocketPoolResponse) -> bytes:
+    """Read the whole body.
+
+    :raises ConnectionError: if the connection was cut before the announced end.
+    """
+    data = bytes(response.read())
+    announced = response.get("content-length")
+    if announced is not None and int(str(announced)) != len(data):
+        raise ConnectionError(f"{len(data)} of {announced} bytes received")
+    return data
+
+
+def _describe_call(method: str, path: str, reason: str) -> Failure:
+    return Failure.of(ErrorKind.STORE_UNAVAILABLE, f"object API: {method} {path}: {reason}")
 
 
 def _parse_object(
     key: str, status: int, version: int, data: bytes
 ) -> Result[StoredObject | None, Failure]:
+    if status == 200 and version < 1:
+        return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, f"object API: {key} has no version"))
     if status == 200:
         return Ok(StoredObject(key, version, data))
     if status in (204, 404):
@@ -105,7 +161,7 @@
 
 def _parse_written(response: tuple[int, int, bytes]) -> Result[int, Failure]:
     status, version, _ = response
-    if status == 200:
+    if status == 200 and version > 0:
         return Ok(version)
     if status == 409:
         return Error(Failure.of(ErrorKind.CONFLICT, f"the stored version is {version}"))
--- /dev/null
+++ b/src/persimmonspur/adapters/publishing.py
@@ -0,0 +1,108 @@
+"""Carries out a publication against the object API."""
+
+from collections.abc import Callable
+from uuid import uuid4
+
+import gevent
+from expression import Error, Ok, Result
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.configuration.fields import DocumentError
+from persimmonspur.core.configuration.publication import (
+    NotPublished,
+    Pause,
+    Propose,
+    Publication,
+    PublicationAction,
+    Published,
+    ReadObject,
+    Revise,
+    WriteObject,
+)
+from persimmonspur.errors import ErrorKind
+from persimmonspur.model.configuration import Configuration
+from persimmonspur.ports import ObjectApi
+
+PUBLISH_MS = 30_000.0
+
+Approve = Callable[[Propose], bool]
+
+
+class Publisher:
+    """Runs publications until they end or their time is over."""
+
+    def __init__(self, api: ObjectApi, clock: Clock, timeout_ms: float = PUBLISH_MS) -> None:
+        """Use an object API.
+
+        :param timeout_ms: time after which a publication gives up, in milliseconds.
+        """
+        self._api = api
+        self._clock = clock
+        self._timeout_ms = timeout_ms
+
+    def publish(
+        self,
+        revise: Revise,
+        attempt: str,
+        expected_version: int | None = None,
+        approve: Approve | None = None,
+    ) -> Result[Published, NotPublished]:
+        """Publish what ``revise`` makes of the present configuration.
+
+        :param attempt: unique id of this attempt.
+        :param expected_version: only replace this version, if given.
+        :param approve: sees the changes before anything is written; ``False`` ends the
+            publication without a change.
+        """
+        deadline_ms = self._clock.now_ms() + self._timeout_ms
+        publication = Publication(revise, attempt, expected_version)
+        action = publication.start()
+        while True:
+            match action:
+                case Published():
+                    return Ok(action)
+                case NotPublished():
+                    return Error(action)
+                case Propose():
+                    if approve is not None and not approve(action):
+                        return Ok(Published(action.version - 1, changed=False))
+                    action = publication.confirm()
+                case Pause():
+                    if self._clock.now_ms() > deadline_ms:
+                        action = publication.give_up()
+                        continue
+                    gevent.sleep(action.duration_ms / 1000)
+                    action = publication.resume()
+                case _:
+                    action = self._call(publication, action)
+
+    def _call(
+        self, publication: Publication, action: ReadObject | WriteObject
+    ) -> PublicationAction:
+        if isinstance(action, WriteObject):
+            written = self._api.write(action.key, action.value, action.expected_version)
+            if written.is_ok():
+                return publication.observe_written(written.ok)
+            if written.error.kind is ErrorKind.CONFLICT:
+                return publication.observe_conflict()
+            return publication.observe_unknown()
+        read = self._api.read(action.key)
+        if read.is_error():
+            return publication.observe_unknown()
+        stored = read.ok
+        if stored is None:
+            return publication.observe_object(0, None)
+        return publication.observe_object(stored.version, stored.value)
+
+
+def publish_configuration(
+    api: ObjectApi, configuration: Configuration, timeout_ms: float = PUBLISH_MS
+) -> Result[Published, NotPublished]:
+    """Store a configuration as the next version, whatever the present one is."""
+
+    def revise(_present: Configuration | None) -> Result[Configuration, list[DocumentError]]:
+        return Ok(configuration)
+
+    clock = Clock()
+    attempt = f"publish/{uuid4()}"
+    return Publisher(api, clock, timeout_ms).publish(revise, attempt)
--- a/src/persimmonspur/core/configuration/document.py
+++ b/src/persimmonspur/core/configuration/document.py
@@ -1,30 +1,235 @@
-"""Stored form of a configuration."""
+"""The operators' file: reading and validating it as a whole."""
 
-import msgspec
+import json
+from typing import Any
 
-from persimmonspur.model.configuration import Configuration
+import yaml
+from attrs import evolve, frozen
+from expression import Error, Ok, Result
 
+from persimmonspur.core.configuration.declarations import Declarations, ServiceReader
+from persimmonspur.core.configuration.fields import DocumentError, Reader, join_path
+from persimmonspur.core.configuration.rules import check_declarations
+from persimmonspur.core.configuration.sections import (
+    CLASS,
+    DESIRED,
+    DESIRED_ALLOWED,
+    DOCUMENT,
+    DocumentSection,
+)
+from persimmonspur.model.configuration import (
+    Configuration,
+    Desired,
+    FailureDomain,
+    PriorityClass,
+    Service,
+)
 
-class RootDocument(msgspec.Struct):
-    """The root object: one version of the whole configuration.
 
-    :param version: grows by one with every change.
-    :param attempt: id of the write attempt, to recognise a write whose reply was lost.
+@frozen
+class OperatorsFile:
+    """A valid file.
+
+    :param gives_desired: whether the file says which desired states there are.
+    :param gives_terminated: whether the file says which instances are terminated.
     """
 
-    version: int
-    attempt: str
     configuration: Configuration
+    gives_desired: bool
+    gives_terminated: bool
 
+    def complete(self, present: Configuration | None) -> Configuration:
+        """Return the whole configuration that the file asks for.
 
-def encode_root(root: RootDocument) -> bytes:
-    """Encode a root document in its stored form."""
-    return msgspec.json.encode(root)
+        Desired states that the file does not mention stay as they are, so that
+        applying a file does not undo a drain by accident.
+        """
+        result = self.configuration
+        if present is None:
+            return result
+        if not self.gives_desired:
+            result = _carry_desired(result, present)
+        if not self.gives_terminated:
+            result = evolve(result, terminated=present.terminated)
+        return result
 
 
-def decode_root(data: bytes) -> RootDocument:
-    """Decode a stored root document.
+def parse_document(text: str) -> Result[OperatorsFile, list[DocumentError]]:
+    """Read a file in YAML or JSON.
 
-    :raises msgspec.ValidationError: if the data is not a root document.
+    :returns: the file, or every fault at once.
     """
-    return msgspec.json.decode(data, type=RootDocument)
+    reader = Reader()
+    try:
+        raw = _load(text, reader)
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        reader.report("document", str(error), "one YAML or JSON document")
+        return Error(reader.errors)
+    document = reader.read_section("", raw, DOCUMENT)
+    if not isinstance(raw, dict):
+        return Error(reader.errors)
+    declarations = _read_declarations(reader, raw, document)
+    check_declarations(reader, declarations)
+    if reader.errors or document is None:
+        return Error(reader.errors)
+    configuration = _build(document, declarations)
+    return Ok(
+        OperatorsFile(configuration, document.desired is not None, document.terminated is not None)
+    )
+
+
+def _read_declarations(
+    reader: Reader, raw: dict[Any, Any], document: DocumentSection | None
+) -> Declarations:
+    declarations = Declarations()
+    if document is not None:
+        declarations.failure_domains = document.failure_domains
+    elif isinstance(raw.get("failure_domains"), list):
+        # Named failure domains count as declared although other fields are at fault.
+        names = [name for name in raw["failure_domains"] if isinstance(name, str)]
+        declarations.failure_domains = tuple(names)
+    if "classes" in raw:
+        declarations.classes = _read_classes(reader, raw["classes"])
+    if "services" in raw:
+        for name in reader.read_names("services", raw["services"]):
+            service_reader = ServiceReader(reader, name, raw["services"][name])
+            declarations.services.append(service_reader.read())
+    if raw.get("desired") is not None:
+        _read_desired(reader, raw["desired"], declarations)
+    return declarations
+
+
+def _read_classes(reader: Reader, raw: Any) -> list[PriorityClass]:
+    classes = []
+    for name in reader.read_names("classes", raw):
+        section = reader.read_section(f"classes.{name}", raw[name], CLASS)
+        if section is not None:
+            classes.append(PriorityClass(name, section.priority, section.share))
+    return classes
+
+
+def _read_desired(reader: Reader, raw: Any, declarations: Declarations) -> None:
+    section = reader.read_section("desired", raw, DESIRED)
+    if section is None:
+        return
+    declarations.desired_domains = _read_states(
+        reader, "desired.failure_domains", section.failure_domains
+    )
+    declarations.desired_instances = _read_states(reader, "desired.instances", section.instances)
+    declarations.desired_endpoints = _read_states(reader, "desired.endpoints", section.endpoints)
+
+
+def _read_states(reader: Reader, path: str, raw: Any) -> dict[str, Desired]:
+    states: dict[str, Desired] = {}
+    if raw is None:
+        return states
+    for name in reader.read_names(path, raw):
+        try:
+            states[name] = Desired(raw[name])
+        except ValueError:
+            reader.report(join_path(path, name), raw[name], DESIRED_ALLOWED)
+    return states
+
+
+def _build(document: DocumentSection, declarations: Declarations) -> Configuration:
+    services = []
+    for declared in declarations.services:
+        limits = declared.limits
+        assert limits is not None and declared.section is not None
+        endpoints = tuple(
+            evolve(
+                entry.endpoint,
+                desired=declarations.desired_endpoints.get(entry.endpoint.name, Desired.SERVING),
+            )
+            for entry in declared.endpoints
+        )
+        services.append(
+            Service(
+                declared.name,
+                limits,
+                tuple(declared.shard_maps),
+                endpoints,
+                declared.section.min_replicas,
+                declared.section.typical_ms,
+            )
+        )
+    domains = tuple(
+        FailureDomain(name, declarations.desired_domains.get(name, Desired.SERVING))
+        for name in document.failure_domains
+    )
+    instances: dict[str, Desired] = {
+        name: state
+        for name, state in declarations.desired_instances.items()
+        if state is not Desired.SERVING
+    }
+    return Configuration(
+        document.deployment,
+        domains,
+        tuple(declarations.classes),
+        tuple(services),
+        instances,
+        frozenset(document.terminated or ()),
+    )
+
+
+def _carry_desired(target: Configuration, present: Configuration) -> Configuration:
+    domains = {domain.name: domain.desired for domain in present.failure_domains}
+    endpoints = {
+        endpoint.name: endpoint.desired
+        for service in present.services
+        for endpoint in service.endpoints
+    }
+    return evolve(
+        target,
+        failure_domains=tuple(
+            evolve(domain, desired=domains.get(domain.name, domain.desired))
+            for domain in target.failure_domains
+        ),
+        services=tuple(
+            evolve(
+                service,
+                endpoints=tuple(
+                    evolve(endpoint, desired=endpoints.get(endpoint.name, endpoint.desired))
+                    for endpoint in service.endpoints
+                ),
+            )
+            for service in target.services
+        ),
+        instances=dict(present.instances),
+    )
+
+
+def _load(text: str, reader: Reader) -> Any:
+    def collect(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        result: dict[str, Any] = {}
+        for name, value in pairs:
+            if name in result:
+                reader.report(name, "declared twice", "each name once")
+            result[name] = value
+        return result
+
+    if text.lstrip().startswith("{"):
+        try:
+            return json.loads(text, object_pairs_hook=collect)
+        except ValueError:
+            # A YAML document may start with a brace too.
+            reader.errors.clear()
+    return _load_yaml(text, reader)
+
+
+def _load_yaml(text: str, reader: Reader) -> Any:
+    class Loader(yaml.SafeLoader):
+        """Reports repeated keys, of which YAML would keep the last without a word."""
+
+        def construct_mapping(self, node: Any, deep: bool = False) -> dict[Any, Any]:
+            keys = set()
+            for key, _ in node.value:
+                if key.value in keys:
+                    line = key.start_mark.line + 1
+                    reader.report(f"line {line}: {key.value}", "declared twice", "each name once")
+                # A key of another kind than a scalar has a list as its value.
+                if isinstance(key.value, str):
+                    keys.add(key.value)
+            return super().construct_mapping(node, deep)
+
+    return yaml.load(text, Loader)
--- a/src/persimmonspur/daemon/events.py
+++ b/src/persimmonspur/daemon/events.py
@@ -54,6 +54,15 @@
 CONFIGURATION_UNREADABLE = define_event(
     3002, "configuration_unreadable", "ERROR", "the stored configuration is unreadable: {reason}"
 )
+CONFIGURATION_PART_UNREADABLE = define_event(
+    3003,
+    "configuration_part_unreadable",
+    "ERROR",
+    "part {digest} of configuration {version} is unreadable: {reason}",
+)
+CONFIGURATION_REJECTED = define_event(
+    3004, "configuration_rejected", "ERROR", "the present configuration stays: {reason}"
+)
 QUERY_FINISHED = define_event(
     4001, "query_finished", "DEBUG", "query finished with {result} after {duration_ms} ms"
 )
--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -88,7 +88,9 @@
     @property
     def ready(self) -> bool:
         """Whether the instance can serve queries."""
-        return self.holder.version > 0 and self.cell.table_version > 0 and not self.leaving
+        if self.leaving or not self.configurations.settled:
+            return False
+        return self.holder.version > 0 and self.cell.table_version > 0
 
     def attach(self, controller: Controller) -> None:
         """Register a controller's message handlers."""
--- a/src/persimmonspur/daemon/run.py
+++ b/src/persimmonspur/daemon/run.py
@@ -101,7 +101,7 @@
 def build_instance(settings: Settings) -> Instance:
     """Build the parts of an instance; nothing runs yet."""
     clock = Clock()
-    object_api = HttpObjectApi(settings.object_api)
+    object_api = HttpObjectApi(settings.object_api, client=settings.instance)
     endpoint_calls = HttpEndpointCalls(clock)
     incarnation = int(clock.wall_ms())
     return Instance(settings, clock, incarnation, object_api, object_api, endpoint_calls)
--- /dev/null
+++ b/src/persimmonspur/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example deployments as operators' files."""
--- a/src/persimmonspur/load/deployment.py
+++ b/src/persimmonspur/load/deployment.py
@@ -115,9 +115,7 @@
                 name,
                 shape.name,
                 addresses.get(name, "127.0.0.1:1"),
-                domains[(index + replica) % len(domains)]
-                if count % len(domains) == 0
-                else domains[index % len(domains)],
+                domains[(index % count + replica) % len(domains)],
                 (shard_map.shards[index % count].name,),
             )
         )
--- a/src/persimmonspur/load/processes.py
+++ b/src/persimmonspur/load/processes.py
@@ -16,8 +16,7 @@
 
 from persimmonspur.adapters.http import connect_client
 from persimmonspur.adapters.objectapi import HttpObjectApi
-from persimmonspur.core.configuration.document import RootDocument, encode_root
-from persimmonspur.core.configuration.holder import ROOT_KEY
+from persimmonspur.adapters.publishing import publish_configuration
 from persimmonspur.load.deployment import DeploymentShape, build_configuration, build_specs
 from persimmonspur.model.configuration import Configuration
 
@@ -178,16 +177,15 @@
 
 
 def store_configuration(object_api: str, configuration: Configuration) -> None:
-    """Store the first configuration.
+    """Store a configuration as the next version.
 
     :raises RuntimeError: if the object API refuses.
     """
     api = HttpObjectApi(object_api)
-    root = encode_root(RootDocument(1, "first", configuration))
-    result = api.write(ROOT_KEY, root, 0)
+    result = publish_configuration(api, configuration)
     api.close()
     if result.is_error():
-        raise RuntimeError(result.error.message)
+        raise RuntimeError(result.error.failure.message)
 
 
 def find_free_address() -> str:
--- a/src/persimmonspur/model/messages.py
+++ b/src/persimmonspur/model/messages.py
@@ -133,18 +133,34 @@
 
 
 class FetchConfiguration(msgspec.Struct, array_like=True, tag=8):
-    """Asks the receiver for its configuration."""
+    """Asks the receiver for the root of its configuration if that is newer.
+
+    Its envelope also announces the sender's version, so a member that learned
+    a version from the object API sends it to all others.
+    """
 
     known_version: int
 
 
 class ConfigurationState(msgspec.Struct, array_like=True, tag=9):
-    """A whole configuration in its stored form."""
+    """The root of a configuration in its stored form; parts are fetched by digest."""
 
     version: int
     value: bytes
 
 
+class FetchConfigurationParts(msgspec.Struct, array_like=True, tag=13):
+    """Asks the receiver for parts of a configuration by digest."""
+
+    digests: list[str]
+
+
+class ConfigurationParts(msgspec.Struct, array_like=True, tag=14):
+    """Parts of a configuration by digest; those that the sender lacks are left out."""
+
+    values: dict[str, bytes]
+
+
 class ReleasedBudget(msgspec.Struct, array_like=True):
     """The state of an endpoint that its former owner gives up.
 
@@ -200,6 +216,8 @@
     | Release
     | ForwardedQuery
     | ForwardedAnswer
+    | FetchConfigurationParts
+    | ConfigurationParts
 )
 
 
--- a/src/persimmonspur/standins/objectapi.py
+++ b/src/persimmonspur/standins/objectapi.py
@@ -1,6 +1,8 @@
 """A small object API with an instance list, faults and call counts."""
 
 import base64
+from contextlib import suppress
+from socket import SHUT_RDWR
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -8,8 +10,10 @@
 import msgspec
 from attrs import define, field
 from gevent.event import Event
+from gevent.pywsgi import WSGIHandler
 
 from persimmonspur.adapters.http import NoDelayServer, StartResponse, read_body, respond_json
+from persimmonspur.clock import Clock
 
 
 @define
@@ -20,23 +24,59 @@
     :param delay_ms: added to every call, in milliseconds.
     :param lose_writes: number of coming writes that take effect without an answer.
     :param stale_reads: reads return the version before the present one.
+    :param cut_before: number of coming calls whose connection is cut before they take effect.
+    :param cut_after: number of coming calls that take effect before their connection is cut.
+    :param garble_reads: number of coming reads that return damaged bytes.
+    :param down_for: names of clients for which the object API is down.
+    :param listing_lag_ms: age of the instance list, in milliseconds.
     """
 
     down: bool = False
     delay_ms: float = 0.0
     lose_writes: int = 0
     stale_reads: bool = False
+    cut_before: int = 0
+    cut_after: int = 0
+    garble_reads: int = 0
+    down_for: list[str] = field(factory=list)
+    listing_lag_ms: float = 0.0
 
 
 @define
 class Counts:
-    """Calls received, a waiting watch as one."""
+    """Calls received, a waiting watch as one.
+
+    :param failed: calls answered with a fault, of the kinds above or not.
+    :param waiting: watches that wait now.
+    :param by_client: calls by the client's name.
+    """
 
     reads: int = 0
     writes: int = 0
     conflicts: int = 0
     watches: int = 0
     listings: int = 0
+    failed: int = 0
+    waiting: int = 0
+    by_client: dict[str, int] = field(factory=dict)
+
+
+@define
+class _Listing:
+    """A state of the instance list and since when it holds."""
+
+    revision: int
+    instances: dict[str, str]
+    since_ms: float
+
+
+class _Handler(WSGIHandler):
+    """Lets the application cut the connection of its request."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ: dict[str, Any] = super().get_environ()
+        environ["persimmonspur.socket"] = self.socket
+        return environ
 
 
 @define
@@ -50,11 +90,11 @@
 class ObjectApiStandIn:
     """Serves the protocol that :mod:`persimmonspur.adapters.objectapi` speaks."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
         self.faults = Faults()
         self.counts = Counts()
-        self.instances: dict[str, str] = {}
-        self.revision = 1
+        self._clock = clock if clock is not None else Clock()
+        self._listings = [_Listing(1, {}, self._clock.now_ms())]
         self._objects: dict[str, _Object] = {}
 
     def serve(self, address: str) -> NoDelayServer:
@@ -63,7 +103,9 @@
         :param address: ``ip:port``; port 0 takes a free one.
         """
         host, _, port = address.rpartition(":")
-        server = NoDelayServer((host, int(port)), self.handle, log=None, error_log=None)
+        server = NoDelayServer(
+            (host, int(port)), self.handle, log=None, error_log=None, handler_class=_Handler
+        )
         server.start()
         return server
 
@@ -76,16 +118,77 @@
             return self._control(body, start_response)
         if path == "/counts":
             return respond_json(start_response, 200, msgspec.to_builtins(self.counts))
+        return self._answer(path, method, body, environ, start_response)
+
+    def set_instances(self, instances: dict[str, str]) -> None:
+        """Replace the instance list.
+
+        :param instances: ``live`` or ``leaving`` by name.
+        """
+        revision = self._listings[-1].revision + 1
+        self._listings.append(_Listing(revision, instances, self._clock.now_ms()))
+
+    def store(self, key: str, value: bytes) -> int:
+        """Replace an object as it stands, for tests that damage it.
+
+        :returns: the new version.
+        """
+        stored = self._objects.get(key)
+        if stored is None:
+            stored = self._objects[key] = _Object(1, value)
+            return stored.version
+        stored.former = (stored.version, stored.value)
+        stored.version += 1
+        stored.value = value
+        changed, stored.changed = stored.changed, Event()
+        changed.set()
+        return stored.version
+
+    def find(self, key: str) -> bytes | None:
+        """Return the value of an object without a call."""
+        stored = self._objects.get(key)
+        return stored.value if stored is not None else None
+
+    def _answer(
+        self,
+        path: str,
+        method: str,
+        body: bytes,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> list[bytes]:
+        client = environ.get("HTTP_X_CLIENT", "")
+        self.counts.by_client[client] = self.counts.by_client.get(client, 0) + 1
         if self.faults.delay_ms:
             gevent.sleep(self.faults.delay_ms / 1000)
-        if self.faults.down:
+        if self._is_down(client):
+            self.counts.failed += 1
             return respond_json(start_response, 503, {"message": "down"})
+        if self.faults.cut_before > 0:
+            self.faults.cut_before -= 1
+            return self._cut(environ, start_response)
+        answer = self._route(path, method, body, environ, start_response)
+        if self.faults.cut_after > 0:
+            self.faults.cut_after -= 1
+            return self._cut(environ, start_response)
+        return answer
+
+    def _route(
+        self,
+        path: str,
+        method: str,
+        body: bytes,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> list[bytes]:
         if path == "/instances":
-            self.counts.listings += 1
-            listing = {"revision": self.revision, "instances": self.instances}
-            return respond_json(start_response, 200, listing)
+            return self._list_instances(start_response)
         if path.startswith("/watch/"):
-            return self._watch(path[len("/watch/") :], environ, start_response)
+            self.counts.waiting += 1
+            try:
+                return self._watch(path[len("/watch/") :], environ, start_response)
+            finally:
+                self.counts.waiting -= 1
         if not path.startswith("/objects/"):
             return respond_json(start_response, 404, {"message": f"no such path {path}"})
         key = path[len("/objects/") :]
@@ -93,6 +196,25 @@
             return self._read(key, start_response)
         return self._write(key, body, environ, start_response)
 
+    def _is_down(self, client: str) -> bool:
+        return self.faults.down or client in self.faults.down_for
+
+    def _cut(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        self.counts.failed += 1
+        with suppress(OSError):
+            environ["persimmonspur.socket"].shutdown(SHUT_RDWR)
+        return respond_json(start_response, 503, {"message": "cut"})
+
+    def _list_instances(self, start_response: StartResponse) -> list[bytes]:
+        self.counts.listings += 1
+        seen_ms = self._clock.now_ms() - self.faults.listing_lag_ms
+        listing = self._listings[0]
+        for later in self._listings:
+            if later.since_ms <= seen_ms:
+                listing = later
+        document = {"revision": listing.revision, "instances": listing.instances}
+        return respond_json(start_response, 200, document)
+
     def _read(self, key: str, start_response: StartResponse) -> list[bytes]:
         self.counts.reads += 1
         stored = self._objects.get(key)
@@ -101,6 +223,9 @@
         version, value = stored.version, stored.value
         if self.faults.stale_reads and stored.former is not None:
             version, value = stored.former
+        if self.faults.garble_reads > 0:
+            self.faults.garble_reads -= 1
+            value = b"\x00" + value[1:]
         return _respond_value(start_response, version, value)
 
     def _write(
@@ -114,19 +239,13 @@
             self.counts.conflicts += 1
             headers = [("x-version", str(present))]
             return respond_json(start_response, 409, {"message": "conflict"}, headers)
-        if stored is None:
-            stored = self._objects[key] = _Object(1, body)
-        else:
-            stored.former = (stored.version, stored.value)
-            stored.version += 1
-            stored.value = body
-        changed, stored.changed = stored.changed, Event()
-        changed.set()
+        version = self.store(key, body)
         if self.faults.lose_writes > 0:
             self.faults.lose_writes -= 1
+            self.counts.failed += 1
             return respond_json(start_response, 503, {"message": "reply lost"})
-        headers = [("x-version", str(stored.version))]
-        return respond_json(start_response, 200, {"version": stored.version}, headers)
+        headers = [("x-version", str(version))]
+        return respond_json(start_response, 200, {"version": version}, headers)
 
     def _watch(
         self, key: str, environ: dict[str, Any], start_response: StartResponse
@@ -146,7 +265,8 @@
                 stored.changed.wait(step_s)
             else:
                 gevent.sleep(step_s)
-            if self.faults.down:
+            if self._is_down(environ.get("HTTP_X_CLIENT", "")):
+                self.counts.failed += 1
                 return respond_json(start_response, 503, {"message": "down"})
         start_response("204 No Content", [("content-length", "0")])
         return []
@@ -156,8 +276,7 @@
         for name, value in document.get("faults", {}).items():
             setattr(self.faults, name, value)
         if "instances" in document:
-            self.instances = document["instances"]
-            self.revision += 1
+            self.set_instances(document["instances"])
         objects = {
             key: base64.b64encode(stored.value).decode() for key, stored in self._objects.items()
         }
