--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -5,13 +5,23 @@
 from cleo.application import Application
 
 from persimmonspur import __version__
+from persimmonspur.cli.commands.apply import ApplyCommand
+from persimmonspur.cli.commands.bring_back import ReturnCommand
+from persimmonspur.cli.commands.check import CheckCommand
 from persimmonspur.cli.commands.demo import DemoCommand
+from persimmonspur.cli.commands.drain import DrainCommand
+from persimmonspur.cli.commands.show import ShowCommand
 
 
 def main() -> int:
     """Run the tool."""
     application = Application("persimmonspur", __version__)
     application.add(DemoCommand())
+    application.add(CheckCommand())
+    application.add(ApplyCommand())
+    application.add(ShowCommand())
+    application.add(DrainCommand())
+    application.add(ReturnCommand())
     return int(application.run())
 
 
--- a/src/persimmonspur/core/configuration/rules.py
+++ b/src/persimmonspur/core/configuration/rules.py
@@ -88,9 +88,10 @@
     for entry in service.endpoints:
         endpoint = entry.endpoint
         served.update(endpoint.shards)
-        if endpoint.failure_domain not in domains:
+        # Without any the list itself is at fault, which is reported already.
+        if domains and endpoint.failure_domain not in domains:
             found = f"{endpoint.name} in {endpoint.failure_domain}"
-            reader.report(f"{entry.path}.failure_domain", found, ", ".join(domains) or "none")
+            reader.report(f"{entry.path}.failure_domain", found, ", ".join(domains))
         for shard in endpoint.shards:
             if shard not in known and service.shard_maps_read:
                 found = f"{endpoint.name} serves {shard}"
@@ -118,9 +119,10 @@
 
 
 def _check_desired(reader: Reader, declarations: Declarations) -> None:
+    domains = declarations.failure_domains
     for name in declarations.desired_domains:
-        if name not in declarations.failure_domains:
-            reader.report("desired.failure_domains", name, ", ".join(declarations.failure_domains))
+        if domains and name not in domains:
+            reader.report("desired.failure_domains", name, ", ".join(domains))
     endpoints = {
         entry.endpoint.name for service in declarations.services for entry in service.endpoints
     }
--- /dev/null
+++ b/tests/core/configuration/test_holder.py
@@ -0,0 +1,78 @@
+from attrs import evolve
+
+from persimmonspur.core.configuration.holder import ConfigurationHolder
+from persimmonspur.core.configuration.parts import (
+    ConfigurationRoot,
+    PartReference,
+    compute_digest,
+    split_configuration,
+)
+from persimmonspur.errors import ErrorKind
+from persimmonspur.load.deployment import DEPLOYMENTS, build_configuration
+
+FIRST = build_configuration(DEPLOYMENTS["ulaanbaatar"])
+SECOND = evolve(FIRST, terminated=frozenset({"entry-1"}))
+
+
+def make(version, configuration):
+    split = split_configuration(configuration)
+    return ConfigurationRoot(version, f"a{version}", split.references), split.values
+
+
+def take(holder, version, configuration):
+    root, values = make(version, configuration)
+    holder.offer_root(root)
+    for digest in holder.list_missing():
+        holder.offer_part(digest, values[digest])
+    return holder.switch()
+
+
+def test_a_lower_version_is_refused():
+    holder = ConfigurationHolder()
+    take(holder, 5, SECOND)
+    take(holder, 4, FIRST)
+    assert (holder.version, holder.configuration) == (5, SECOND)
+
+
+def test_a_pending_version_is_not_replaced_by_a_lower_one():
+    holder = ConfigurationHolder()
+    assert holder.offer_root(make(6, SECOND)[0])
+    assert not holder.offer_root(make(5, FIRST)[0])
+    assert holder.pending_version == 6
+
+
+def test_nothing_takes_effect_before_every_part_is_here():
+    holder = ConfigurationHolder()
+    take(holder, 1, FIRST)
+    root, values = make(2, SECOND)
+    assert holder.offer_root(root)
+    assert holder.switch().ok is None
+    assert (holder.version, holder.configuration) == (1, FIRST)
+    (missing,) = holder.list_missing()
+    assert holder.offer_part(missing, values[missing])
+    assert holder.switch().ok == SECOND
+    assert holder.version == 2
+
+
+def test_a_part_with_other_bytes_is_refused():
+    holder = ConfigurationHolder()
+    root, values = make(1, FIRST)
+    holder.offer_root(root)
+    digest = holder.list_missing()[0]
+    assert not holder.offer_part(digest, values[digest] + b" ")
+    assert digest in holder.list_missing()
+
+
+def test_parts_that_make_no_configuration_are_collected_once():
+    # Otherwise an instance would fetch them again and again.
+    holder = ConfigurationHolder()
+    take(holder, 1, FIRST)
+    value = b'[{"type":"shard_map","epoch":1}]'
+    digest = compute_digest(value)
+    root = ConfigurationRoot(2, "b", (PartReference("x", digest),))
+    holder.offer_root(root)
+    holder.offer_part(digest, value)
+    assert holder.switch().error.kind is ErrorKind.INVALID_CONFIGURATION
+    assert (holder.version, holder.configuration) == (1, FIRST)
+    assert not holder.offer_root(root)
+    assert take(holder, 3, SECOND).ok == SECOND
