--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -94,8 +94,9 @@
     @property
     def ready(self) -> bool:
         """Whether the instance can serve queries."""
-        known = self.holder.version > 0 and self.cell.table_version > 0
-        return known and self.phase is Phase.SERVING
+        if self.phase is not Phase.SERVING or not self.configurations.settled:
+            return False
+        return self.holder.version > 0 and self.cell.table_version > 0
 
     @property
     def leaving(self) -> bool:
--- a/tests/core/ownership/test_cell_machine.py
+++ b/tests/core/ownership/test_cell_machine.py
@@ -3,11 +3,12 @@
 Any fault may come at any moment, together or twice.
 """
 
-from cellsim import Simulation, build_configuration
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from cellsim import Simulation, build_configuration
+
 MEMBERS = 5
 NAMES = [f"m{index}" for index in range(MEMBERS)]
 names = st.sampled_from(NAMES)
