--- a/src/persimmonspur/capacity/configurations.py
+++ b/src/persimmonspur/capacity/configurations.py
@@ -7,7 +7,11 @@
 
 from persimmonspur.capacity.fakes import SNAPSHOT, build_sized
 from persimmonspur.capacity.record import MEASURES, Point, Series, build_series, time_call
-from persimmonspur.core.configuration.document import RootDocument, decode_root, encode_root
+from persimmonspur.core.configuration.parts import (
+    SplitConfiguration,
+    assemble_configuration,
+    split_configuration,
+)
 from persimmonspur.core.routing.view import RoutingView
 from persimmonspur.model.configuration import Configuration
 from persimmonspur.model.messages import EndpointStatus
@@ -22,13 +26,12 @@
     """Measure size and apply time against endpoints and against services."""
     size, apply, by_service = [], [], []
     for endpoints in ENDPOINTS:
-        data = encode_root(RootDocument(1, "measured", build_sized(endpoints)))
-        size.append(Point(endpoints, len(data)))
-        apply.append(Point(endpoints, time_call(_build_apply(data))))
+        split = split_configuration(build_sized(endpoints))
+        size.append(Point(endpoints, sum(len(value) for value in split.values.values())))
+        apply.append(Point(endpoints, time_call(partial(_apply, split))))
     for services in SERVICES:
         sized = build_sized(SERVICE_ENDPOINTS, services)
-        data = encode_root(RootDocument(1, "measured", sized))
-        by_service.append(Point(services, time_call(_build_apply(data))))
+        by_service.append(Point(services, time_call(partial(_apply, split_configuration(sized)))))
     return [
         build_series("configuration_bytes", "endpoints", "bytes of the configuration", size),
         build_series("configuration_apply", "endpoints", "processor µs to decode and apply", apply),
@@ -76,6 +79,8 @@
         tracemalloc.stop()
 
 
-def _build_apply(data: bytes) -> Callable[[], object]:
-    view = RoutingView()
-    return lambda: view.configure(decode_root(data).configuration)
+def _apply(split: SplitConfiguration) -> None:
+    assembled = assemble_configuration(split.references, split.values)
+    if assembled.is_error():
+        raise RuntimeError(assembled.error)
+    RoutingView().configure(assembled.ok)
--- a/src/persimmonspur/capacity/propagation.py
+++ b/src/persimmonspur/capacity/propagation.py
@@ -8,10 +8,9 @@
 from expression import Error, Ok, Result
 from gevent.event import Event
 
+from persimmonspur.adapters.publishing import publish_configuration
 from persimmonspur.capacity.record import MEASURES, Point, Series, build_series
 from persimmonspur.clock import Clock
-from persimmonspur.core.configuration.document import RootDocument, encode_root
-from persimmonspur.core.configuration.holder import ROOT_KEY
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Controller
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.daemon.run import _REGISTERED as REGISTERED
@@ -105,6 +104,12 @@
     def cancel(self, endpoint: Endpoint, request_id: str) -> None:
         """Do nothing."""
 
+    def set_idle_listener(self, listener: Callable[[str], None]) -> None:
+        """Do nothing."""
+
+    def forget(self, name: str) -> None:
+        """Do nothing."""
+
     def fetch_report(self, endpoint: Endpoint, timeout_ms: float) -> EndpointReport | None:
         """Return a report of a warm endpoint."""
         return EndpointReport(f"{endpoint.name}-1", "warm", 0.0, (SnapshotId(1, 1),))
@@ -161,10 +166,8 @@
         limits = Limits(4, 75, 6.0, queue=64 + version)
         services[0] = evolve(services[0], limits=limits)
         changed = evolve(self.configuration, services=tuple(services))
-        stored = self.api.objects[ROOT_KEY]
-        root = encode_root(RootDocument(version, f"change-{version}", changed))
         started_ms = self.clock.now_ms()
-        self.api.write(ROOT_KEY, root, stored.version)
+        publish_configuration(self.api, changed)
         self._wait(lambda: all(i.holder.version >= version for i in self.instances))
         return self.clock.now_ms() - started_ms
 
@@ -212,8 +215,7 @@
     """Start instances in this process."""
     configuration = build_configuration(DEPLOYMENTS["ulaanbaatar"])
     api = MemoryObjectApi(names=[f"entry-{index}" for index in range(count)])
-    root = encode_root(RootDocument(1, "first", configuration))
-    api.objects[ROOT_KEY] = StoredObject(ROOT_KEY, 1, root)
+    publish_configuration(api, configuration)
     receivers: dict[str, Callable[[Envelope], None]] = {}
     instances = []
     for index in range(count):
--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -5,9 +5,14 @@
 from cleo.application import Application
 
 from persimmonspur import __version__
+from persimmonspur.cli.commands.apply import ApplyCommand
+from persimmonspur.cli.commands.bring_back import ReturnCommand
+from persimmonspur.cli.commands.check import CheckCommand
 from persimmonspur.cli.commands.demo import DemoCommand
+from persimmonspur.cli.commands.drain import DrainCommand
 from persimmonspur.cli.commands.load import LoadCommand
 from persimmonspur.cli.commands.report import ReportCommand
+from persimmonspur.cli.commands.show import ShowCommand
 
 
 def main() -> int:
@@ -16,6 +21,11 @@
     application.add(DemoCommand())
     application.add(LoadCommand())
     application.add(ReportCommand())
+    application.add(CheckCommand())
+    application.add(ApplyCommand())
+    application.add(ShowCommand())
+    application.add(DrainCommand())
+    application.add(ReturnCommand())
     return int(application.run())
 
 
--- a/src/persimmonspur/model/messages.py
+++ b/src/persimmonspur/model/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from persimmonspur.errors import ErrorKind, Ran
+from persimmonspur.model.member import Member
 from persimmonspur.model.query import SnapshotId
 
 
@@ -105,12 +106,16 @@
     :param echo_sequence: latest round of the receiver that the sender has seen.
     :param echo_incarnation: incarnation of the receiver that sent that round.
     :param heard: bit i is set if the sender heard the i-th member of its table, by name order.
+    :param leaving: whether the sender is about to end.
+    :param joining: the sender's own entry while the table lacks it.
     """
 
     sequence: int
     echo_sequence: int
     echo_incarnation: int
     heard: int
+    leaving: bool = False
+    joining: Member | None = None
 
 
 class EndpointStatuses(msgspec.Struct, array_like=True, tag=5):
@@ -133,18 +138,34 @@
 
 
 class FetchConfiguration(msgspec.Struct, array_like=True, tag=8):
-    """Asks the receiver for its configuration."""
+    """Asks the receiver for the root of its configuration if that is newer.
+
+    Its envelope also announces the sender's version, so a member that learned
+    a version from the object API sends it to all others.
+    """
 
     known_version: int
 
 
 class ConfigurationState(msgspec.Struct, array_like=True, tag=9):
-    """A whole configuration in its stored form."""
+    """The root of a configuration in its stored form; parts are fetched by digest."""
 
     version: int
     value: bytes
 
 
+class FetchConfigurationParts(msgspec.Struct, array_like=True, tag=13):
+    """Asks the receiver for parts of a configuration by digest."""
+
+    digests: list[str]
+
+
+class ConfigurationParts(msgspec.Struct, array_like=True, tag=14):
+    """Parts of a configuration by digest; those that the sender lacks are left out."""
+
+    values: dict[str, bytes]
+
+
 class ReleasedBudget(msgspec.Struct, array_like=True):
     """The state of an endpoint that its former owner gives up.
 
@@ -200,6 +221,8 @@
     | Release
     | ForwardedQuery
     | ForwardedAnswer
+    | FetchConfigurationParts
+    | ConfigurationParts
 )
 
 
