--- a/src/persimmonspur/adapters/objectapi.py
+++ b/src/persimmonspur/adapters/objectapi.py
@@ -8,7 +8,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.errors import ErrorKind, Failure, Ran
 from persimmonspur.ports import InstanceListing, ListedState, StoredObject
 
--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -10,6 +10,8 @@
 from persimmonspur.cli.commands.check import CheckCommand
 from persimmonspur.cli.commands.demo import DemoCommand
 from persimmonspur.cli.commands.drain import DrainCommand
+from persimmonspur.cli.commands.load import LoadCommand
+from persimmonspur.cli.commands.report import ReportCommand
 from persimmonspur.cli.commands.show import ShowCommand
 
 
@@ -22,6 +24,8 @@
     application.add(ShowCommand())
     application.add(DrainCommand())
     application.add(ReturnCommand())
+    application.add(LoadCommand())
+    application.add(ReportCommand())
     return int(application.run())
 
 
