--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -19,13 +19,13 @@
     """Run the tool."""
     application = Application("persimmonspur", __version__)
     application.add(DemoCommand())
-    application.add(LoadCommand())
-    application.add(ReportCommand())
     application.add(CheckCommand())
     application.add(ApplyCommand())
     application.add(ShowCommand())
     application.add(DrainCommand())
     application.add(ReturnCommand())
+    application.add(LoadCommand())
+    application.add(ReportCommand())
     return int(application.run())
 
 
