Place rejected sub-requests on warming replicas if no warm one is left

Cause: a query that met an endpoint of a domain that was just taken out got 'ran: no' and looked for another warm replica only. Two seconds after a start the other replicas still warm up, so the query ended as incomplete with five seconds left. The timeline of the request shows the rejection and no further sub-request.

Ruled out: hedging or retrying to warming replicas, which is extra work; a sub-request that certainly did not run is not.

--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -229,7 +229,7 @@
         """Act on a shard whose last attempt failed."""
         assert self.pinned is not None
         if reply.error is not None and reply.ran is Ran.NO:
-            view = self._choose_other(progress, now_ms)
+            view = self._choose_placement(progress, now_ms)
             if view is not None:
                 kind = SubRequestKind.PLACEMENT
                 self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
@@ -284,6 +284,21 @@
             usable = distant or usable
         return self._choose(usable, context.choice)
 
+    def _choose_placement(self, progress: ShardProgress, now_ms: float) -> EndpointView | None:
+        """Choose an untried replica for a sub-request that certainly did not run.
+
+        It is not extra work, so a warming replica takes it if no warm one is left:
+        otherwise a failure domain that goes out while others warm up costs answers.
+        """
+        assert self.pinned is not None
+        context = self._context
+        context.choice.now_ms = now_ms
+        replicas = context.view.list_replicas(self._service.name, progress.name)
+        usable = find_usable(replicas, self.pinned.snapshot, progress.tried)
+        remaining_ms = self._conclude_ms - now_ms
+        usable = [view for view in usable if estimate_wait(view, now_ms) < remaining_ms]
+        return self._choose(restrict_first(usable, len(replicas), context.choice), context.choice)
+
     def _check(self, attempt: Attempt, now_ms: float, actions: list[CoordinationAction]) -> None:
         """Act on an attempt whose reply is late."""
         assert self.pinned is not None
