--- a/tests/core/ownership/test_cell.py
+++ b/tests/core/ownership/test_cell.py
@@ -13,6 +13,8 @@
 
 # Suspicion, the slowest writer of five, a change, and the wait of the new owner.
 TAKEOVER_MS = 20_000.0
+# Well below the wait of a new owner, and enough for the second writer's turn.
+HANDOVER_MS = 2_000.0
 
 
 def form(members=5, endpoints=10, seed=1):
@@ -225,16 +227,12 @@
     process = sim.processes[owner]
     sim.rng.choice = lambda options: options[0]
     process.handle(process.cell.begin_leaving)
-    sim.run(WRITTEN_MS)
+    sim.run(HANDOVER_MS)
+    assert HANDOVER_MS < GRANT_WAIT_MS
     assert all(sim.find_user(key) not in (None, owner) for key in keys)
     assert read_table(sim).members[owner].state is MemberState.LEAVING
 
 
-# Well below the wait, and enough for the second writer's turn.
-WRITTEN_MS = 2_000.0
-assert WRITTEN_MS < GRANT_WAIT_MS
-
-
 def test_leaving_member_is_not_named_while_the_object_api_is_down():
     sim = form()
     sim.store.down = True
@@ -312,15 +310,22 @@
         heartbeat = Heartbeat(1, sequence, process.cell.member.incarnation, 0)
         newer = table.members[name].incarnation + 500
         process.cell.observe_heartbeat(name, newer, 0, heartbeat, now_ms + 1.0)
-    # Nor does an echo of a round that this member's own predecessor sent.
-    for name in others:
-        former = process.cell.member.incarnation - 500
-        heartbeat = Heartbeat(2, sequence, former, 0)
-        present = table.members[name].incarnation
-        process.cell.observe_heartbeat(name, present, 0, heartbeat, now_ms + 1.0)
+    # Nor does an echo of a round that this member's own predecessor sent, or one
+    # whose sender knows a newer table.
+    own = process.cell.member.incarnation
+    for echoed, version in ((own - 500, 0), (own, table.version + 1)):
+        for name in others:
+            heartbeat = Heartbeat(2, sequence, echoed, 0)
+            present = table.members[name].incarnation
+            process.cell.observe_heartbeat(name, present, version, heartbeat, now_ms + 1.0)
     assert process.cell._grants.confirmation.confirmed_ms == confirmed_ms
 
 
+def test_wait_of_a_new_owner_covers_the_slowest_clock():
+    # The former owner counts its validity on a clock that is 1% slow.
+    assert GRANT_WAIT_MS >= VALIDITY_MS * 1.01 + 200.0
+
+
 def test_steady_state_costs_one_renewal_per_interval_and_no_other_call():
     sim = Simulation(12, 12, checks=False)
     sim.run(60_000.0)
