--- a/src/persimmonspur/daemon/run.py
+++ b/src/persimmonspur/daemon/run.py
@@ -22,7 +22,7 @@
 from persimmonspur.daemon import events
 from persimmonspur.daemon.controllers import cell, configuration, endpoints, queries
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Controller
-from persimmonspur.daemon.filters import standard
+from persimmonspur.daemon.filters import admission, standard
 from persimmonspur.daemon.http import KEEP_MS, HttpSurface
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.daemon.lifecycle import Phase
@@ -40,7 +40,7 @@
 POLL_MS = 10.0
 
 # Imported so that their parts register themselves.
-_REGISTERED = (cell, configuration, endpoints, queries, standard)
+_REGISTERED = (cell, configuration, endpoints, queries, admission, standard)
 
 
 class ServeCommand(Command):
@@ -108,7 +108,7 @@
 def build_instance(settings: Settings) -> Instance:
     """Build the parts of an instance; nothing runs yet."""
     clock = Clock()
-    object_api = HttpObjectApi(settings.object_api)
+    object_api = HttpObjectApi(settings.object_api, client=settings.instance)
     endpoint_calls = HttpEndpointCalls(clock)
     incarnation = int(clock.wall_ms())
     return Instance(settings, clock, incarnation, object_api, object_api, endpoint_calls)
--- a/src/persimmonspur/load/processes.py
+++ b/src/persimmonspur/load/processes.py
@@ -8,7 +8,9 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import msgspec
@@ -16,13 +18,18 @@
 
 from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.adapters.objectapi import HttpObjectApi
-from persimmonspur.core.configuration.document import RootDocument, encode_root
-from persimmonspur.core.configuration.holder import ROOT_KEY
+from persimmonspur.adapters.publishing import publish_configuration
 from persimmonspur.load.deployment import DeploymentShape, build_configuration, build_specs
 from persimmonspur.model.configuration import Configuration
+from persimmonspur.registry import Registry
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
+PORT_RANGE = (10_000, 32_000)
+
+# Several test runs on one machine must not try the same ports in the same order.
+_PORTS = SystemRandom()
+_used_ports: set[int] = set()
 
 
 @define
@@ -40,12 +47,14 @@
     """A whole deployment on loopback.
 
     :param controls: control address of the searchers by failure domain.
+    :param tier: name in :data:`TIERS`.
     """
 
     deployment: DeploymentShape
     configuration: Configuration
     object_api: str
     controls: dict[str, str]
+    tier: str = "policy"
     daemons: dict[str, Daemon] = field(factory=dict)
     directory: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="persimmonspur-")))
     _standins: "list[subprocess.Popen[bytes]]" = field(factory=list)
@@ -57,21 +66,38 @@
     def start_daemon(self, name: str, failure_domain: str) -> Daemon:
         """Start a daemon on free ports."""
         caller_address = find_free_address()
-        arguments = [
-            sys.executable,
-            "-m",
-            "persimmonspur.daemon.run",
-            f"--instance={name}",
-            f"--failure-domain={failure_domain}",
-            f"--caller-address={caller_address}",
-            f"--peer-address={find_free_address()}",
-            f"--object-api={self.object_api}",
-            "--log-level=INFO",
-        ]
+        arguments = build_policy_arguments(name, failure_domain, caller_address, self.object_api)
         daemon = Daemon(name, arguments, caller_address, self._launch_daemon(name, arguments))
         self.daemons[name] = daemon
         return daemon
 
+    def start_naive(self, instances: int) -> None:
+        """Start the naive tier on free ports.
+
+        :param instances: number of processes.
+        """
+        addresses = find_free_addresses(instances)
+        for index, address in enumerate(addresses):
+            name = f"entry-{index}"
+            arguments = [
+                sys.executable,
+                "-m",
+                "persimmonspur.load.naive",
+                f"--caller-address={address}",
+                f"--object-api={self.object_api}",
+                f"--addresses={','.join(addresses)}",
+                f"--seed={index + 1}",
+            ]
+            process = self._launch_daemon(name, arguments)
+            self.daemons[name] = Daemon(name, arguments, address, process)
+
+    def signal_daemon(self, name: str, number: int) -> None:
+        """Send a signal to one daemon; SIGKILL also waits for its end."""
+        process = self.daemons[name].process
+        _signal(process, number)
+        if number == signal.SIGKILL:
+            process.wait()
+
     def restart_daemon(self, name: str) -> None:
         """Start a daemon again under its name and addresses after it ended."""
         daemon = self.daemons[name]
@@ -80,11 +106,13 @@
     def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until every daemon is ready and knows every member.
 
-        :raises TimeoutError: if that takes too long.
+        :raises TimeoutError: if that takes too long or a daemon ends.
         """
         deadline = time.monotonic() + timeout_s
         for daemon in self.daemons.values():
             while not self._is_ready(daemon):
+                if daemon.process.poll() is not None:
+                    raise TimeoutError(f"instance {daemon.name} ended: {self._read_log(daemon)}")
                 if time.monotonic() > deadline:
                     raise TimeoutError(f"instance {daemon.name} is not ready")
                 time.sleep(0.05)
@@ -111,6 +139,12 @@
             counts.update(post_json(address, "/counts", {}))
         return counts
 
+    def kill(self) -> None:
+        """End all processes at once, without the daemons' orderly shutdown."""
+        for process in [daemon.process for daemon in self.daemons.values()] + self._standins:
+            _signal(process, signal.SIGKILL)
+        _wait([daemon.process for daemon in self.daemons.values()] + self._standins)
+
     def stop(self) -> None:
         """End all processes that this object started."""
         processes = [daemon.process for daemon in self.daemons.values()]
@@ -128,7 +162,11 @@
 
     def _launch_daemon(self, name: str, arguments: list[str]) -> "subprocess.Popen[bytes]":
         with (self.directory / f"{name}.log").open("ab") as log:
-            return subprocess.Popen(arguments, stdout=log, stderr=log, env=_build_environment())
+            return subprocess.Popen(arguments, stdout=log, stderr=log, env=build_environment())
+
+    def _read_log(self, daemon: Daemon) -> str:
+        lines = (self.directory / f"{daemon.name}.log").read_text().splitlines()
+        return lines[-1] if lines else "no log"
 
     def _is_ready(self, daemon: Daemon) -> bool:
         document = get_json(daemon.caller_address, "/v1/resolve")
@@ -140,11 +178,16 @@
 
 
 def start_deployment(
-    deployment: DeploymentShape, instances: int, snapshots: tuple[str, ...] = ("1.1",)
+    deployment: DeploymentShape,
+    instances: int,
+    snapshots: tuple[str, ...] = ("1.1",),
+    tier: str = "policy",
 ) -> Processes:
     """Start the object API, the searchers and the daemons, and wait until they serve.
 
     :param instances: number of daemons.
+    :param tier: name in :data:`TIERS`.
+    :raises TimeoutError: if the daemons are not ready in time.
     """
     directory = Path(tempfile.mkdtemp(prefix="persimmonspur-"))
     standins = []
@@ -165,36 +208,92 @@
         controls[domain] = document["control"]
     configuration = build_configuration(deployment, addresses)
     store_configuration(object_api, configuration)
-    processes = Processes(deployment, configuration, object_api, controls, {}, directory, standins)
-    domains = deployment.failure_domains
-    for index in range(instances):
-        processes.start_daemon(f"entry-{index}", domains[index % len(domains)])
+    processes = Processes(
+        deployment, configuration, object_api, controls, tier, {}, directory, standins
+    )
     try:
+        TIERS.get(tier)(processes, instances)
         processes.wait_ready()
-    except TimeoutError:
-        processes.stop()
+    except BaseException:
+        processes.kill()
         raise
     return processes
 
 
+StartTier = Callable[[Processes, int], None]
+TIERS: Registry[StartTier] = Registry("tier")
+
+
+@TIERS.register("policy")
+def start_policy(processes: Processes, instances: int) -> None:
+    """Start the daemons of this project."""
+    domains = processes.deployment.failure_domains
+    for index in range(instances):
+        processes.start_daemon(f"entry-{index}", domains[index % len(domains)])
+
+
+@TIERS.register("naive")
+def start_naive(processes: Processes, instances: int) -> None:
+    """Start the tier to compare with."""
+    processes.start_naive(instances)
+
+
+def build_policy_arguments(
+    name: str, failure_domain: str, caller_address: str, object_api: str
+) -> list[str]:
+    """Return the command of a daemon with a free peer address."""
+    return [
+        sys.executable,
+        "-m",
+        "persimmonspur.daemon.run",
+        f"--instance={name}",
+        f"--failure-domain={failure_domain}",
+        f"--caller-address={caller_address}",
+        f"--peer-address={find_free_address()}",
+        f"--object-api={object_api}",
+        "--log-level=INFO",
+    ]
+
+
 def store_configuration(object_api: str, configuration: Configuration) -> None:
-    """Store the first configuration.
+    """Store a configuration as the next version.
 
     :raises RuntimeError: if the object API refuses.
     """
     api = HttpObjectApi(object_api)
-    root = encode_root(RootDocument(1, "first", configuration))
-    result = api.write(ROOT_KEY, root, 0)
+    result = publish_configuration(api, configuration)
     api.close()
     if result.is_error():
-        raise RuntimeError(result.error.message)
+        raise RuntimeError(result.error.failure.message)
+
+
+def build_environment() -> dict[str, str]:
+    """Return an environment in which child processes find this package."""
+    source = str(Path(__file__).resolve().parents[2])
+    inherited = os.environ.get("PYTHONPATH", "")
+    return {**os.environ, "PYTHONPATH": f"{source}{os.pathsep}{inherited}"}
+
+
+def find_free_addresses(count: int) -> list[str]:
+    """Return several different loopback addresses with ports that were free just now.
+
+    The ports lie below the range from which the system takes the ports of
+    outgoing connections: a port from that range can be taken by any client on
+    the machine between this probe and the daemon's own bind.
+    """
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = _PORTS.randrange(*PORT_RANGE)
+        if port in _used_ports or not _is_free(port):
+            continue
+        _used_ports.add(port)
+        addresses.append(f"127.0.0.1:{port}")
+    return addresses
 
 
 def find_free_address() -> str:
-    """Return a loopback address with a port that was free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return one address of :func:`find_free_addresses`."""
+    return find_free_addresses(1)[0]
 
 
 def get_json(address: str, path: str) -> Any:
@@ -225,16 +324,19 @@
             [sys.executable, "-m", "persimmonspur.standins.run", *arguments],
             stdout=subprocess.PIPE,
             stderr=log,
-            env=_build_environment(),
+            env=build_environment(),
         )
     assert process.stdout is not None
     return process, json.loads(process.stdout.readline())
 
 
-def _build_environment() -> dict[str, str]:
-    source = str(Path(__file__).resolve().parents[2])
-    inherited = os.environ.get("PYTHONPATH", "")
-    return {**os.environ, "PYTHONPATH": f"{source}{os.pathsep}{inherited}"}
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 def _signal(process: "subprocess.Popen[bytes]", number: int) -> None:
