--- a/tests/core/ownership/test_cell_machine.py
+++ b/tests/core/ownership/test_cell_machine.py
@@ -9,8 +9,6 @@
 
 from cellsim import Simulation, build_configuration
 
-from cellsim import Simulation, build_configuration
-
 MEMBERS = 5
 NAMES = [f"m{index}" for index in range(MEMBERS)]
 names = st.sampled_from(NAMES)
