--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -53,7 +53,6 @@
         """
         self.settings = settings
         self.clock = clock
-        self.incarnation = incarnation
         self.object_api = object_api
         self.instance_list = instance_list
         self.endpoint_calls = endpoint_calls
@@ -80,6 +79,11 @@
         self._handlers: dict[type, Handler] = {}
         self._delays: dict[str, DelayEstimator] = {}
 
+    @property
+    def incarnation(self) -> int:
+        """Present incarnation, which grows when the cell removes this instance."""
+        return self.cell.member.incarnation
+
     def set_controllers(self, controllers: dict[str, Controller]) -> None:
         """Make the controllers reachable for each other.
 
@@ -135,7 +139,7 @@
         """Send a message to a peer; it may be lost."""
         envelope = Envelope(
             self.settings.instance,
-            self.cell.member.incarnation,
+            self.incarnation,
             self.clock.now_ms(),
             self.cell.table_version,
             self.holder.version,
