State the end of an incarnation in its last message

Cause: a majority that left in order still counted as members, so the rest could neither remove them nor move anything. A process that ends now says so, which counts as its vote. An instance whose wall clock was set back was refused as an old incarnation; it now takes the number after the one in the table.

--- a/src/persimmonspur/core/membership/roster.py
+++ b/src/persimmonspur/core/membership/roster.py
@@ -57,12 +57,31 @@
         entry = table.members.get(self.own.name)
         return entry is not None and entry.incarnation == self.own.incarnation
 
-    def assume_next_incarnation(self) -> None:
-        """Take a new incarnation after the cell removed the present one."""
+    def renew_incarnation(self, former: CellTable | None, table: CellTable) -> bool:
+        """Take a new incarnation if a table rules out the present one.
+
+        That is so when the cell removed it, or when a predecessor had a higher
+        number because the clock that numbers incarnations was set back.
+
+        :param former: the table before.
+        :returns: whether the incarnation changed.
+        """
+        if self.is_in(table):
+            return False
+        name, taken = self.own.name, 0
+        if name in table.members:
+            taken = table.members[name].incarnation
+        if name in table.removals:
+            taken = max(taken, table.removals[name].incarnation)
+        if former is not None and self.is_in(former):
+            taken = max(taken, self.own.incarnation)
+        if taken < self.own.incarnation:
+            return False
         leaving = self.leaving
-        self.own = evolve(self.own, incarnation=self.own.incarnation + 1)
+        self.own = evolve(self.own, incarnation=taken + 1)
         if leaving:
             self.say_farewell()
+        return True
 
     def say_farewell(self) -> None:
         """Note that this member is about to end."""
@@ -100,6 +119,8 @@
         """
         if heartbeat.leaving:
             self._farewells[sender] = max(self._farewells.get(sender, 0), incarnation)
+        if heartbeat.ended:
+            self.terminations.observe_farewell(sender, incarnation)
         joining = heartbeat.joining
         if joining is not None and (joining.name, joining.incarnation) == (sender, incarnation):
             self._joiners[sender] = (joining, now_ms)
@@ -116,13 +137,16 @@
         return self._detector.build_bitmap(now_ms)
 
     def list_ended(self, table: CellTable, now_ms: float) -> frozenset[str]:
-        """Return the silent members that were reported as ended."""
-        return frozenset(
-            name
-            for name, member in table.members.items()
-            if self.terminations.get_ended(name) >= member.incarnation
-            and not self._detector.hears(name, now_ms)
-        )
+        """Return the members that stated their end, or are silent and were reported as ended."""
+        ended = set()
+        for name, member in table.members.items():
+            if self.terminations.get_farewell(name) >= member.incarnation:
+                ended.add(name)
+                continue
+            reported = self.terminations.get_ended(name) >= member.incarnation
+            if reported and not self._detector.hears(name, now_ms):
+                ended.add(name)
+        return frozenset(ended)
 
     def list_live(self, now_ms: float) -> list[Member]:
         """Return the members that callers may be sent to, by name.
--- a/src/persimmonspur/core/membership/termination.py
+++ b/src/persimmonspur/core/membership/termination.py
@@ -1,4 +1,4 @@
-"""Which incarnations the platform or an operator reported as ended."""
+"""Which incarnations ended, by the platform, an operator or their own last message."""
 
 from collections.abc import Mapping
 
@@ -26,6 +26,7 @@
         self._shown: set[str] = set()
         self._omissions: dict[str, _Omission] = {}
         self._declared: dict[str, int] = {}
+        self._farewells: dict[str, int] = {}
 
     def observe_listing(
         self, names: frozenset[str], incarnations: Mapping[str, int], now_ms: float
@@ -48,6 +49,14 @@
             name: self._declared.get(name) or incarnations.get(name, 0) for name in names
         }
 
+    def observe_farewell(self, name: str, incarnation: int) -> None:
+        """Take an instance's own statement that its incarnation has ended."""
+        self._farewells[name] = max(self._farewells.get(name, 0), incarnation)
+
+    def get_farewell(self, name: str) -> int:
+        """Return the highest incarnation of a name that stated its own end; 0 if none."""
+        return self._farewells.get(name, 0)
+
     def get_ended(self, name: str) -> int:
         """Return the highest incarnation of a name that was reported as ended; 0 if none."""
         ended = self._declared.get(name, 0)
--- a/src/persimmonspur/core/ownership/cell.py
+++ b/src/persimmonspur/core/ownership/cell.py
@@ -75,6 +75,7 @@
         self._next_confirm_ms = 0.0
         self._confirming = False
         self._collisions = 0
+        self._ended = False
 
     @property
     def member(self) -> Member:
@@ -103,6 +104,8 @@
 
     def tick(self, now_ms: float) -> list[CellAction]:
         """Do what is due; the daemon calls this at least every 100 ms."""
+        if self._ended:
+            return []
         self._roster.tick(now_ms)
         actions: list[CellAction] = []
         if now_ms >= self._next_heartbeat_ms:
@@ -237,6 +240,14 @@
         self._roster.say_farewell()
         return [*self._send_round(now_ms), *self._propose(now_ms)]
 
+    def end(self, now_ms: float) -> list[CellAction]:
+        """Give up every right and state so, right before the process ends.
+
+        The others then need not wait for silence, and a majority may end at once.
+        """
+        self._ended = True
+        return self._send_round(now_ms)
+
     def find_owner(self, endpoint: str) -> Member | None:
         """Return the member that owns an endpoint's budget, or ``None``."""
         return self._find_owner(endpoint)
@@ -250,15 +261,11 @@
 
         :returns: monotonic milliseconds; 0 if it may not use it now.
         """
-        if self.table is None:
-            return 0.0
-        return self._grants.usable_until(self.table, self.member, endpoint, now_ms)
+        return self._usable_until(endpoint, now_ms)
 
     def partition_usable_until(self, partition: int, now_ms: float) -> float:
         """Return until when this member may record claims of a partition; 0 if not now."""
-        if self.table is None:
-            return 0.0
-        return self._grants.usable_until(self.table, self.member, partition, now_ms)
+        return self._usable_until(partition, now_ms)
 
     def count_valid(self, now_ms: float) -> int:
         """Return the number of endpoints that this member may use now."""
@@ -278,6 +285,11 @@
         """Return whether this member is one of the two that read the instance list often."""
         return self.is_member and self._roster.rank(f"{self.name}/listing", now_ms) < 2
 
+    def _usable_until(self, key: Key, now_ms: float) -> float:
+        if self.table is None or self._ended:
+            return 0.0
+        return self._grants.usable_until(self.table, self.member, key, now_ms)
+
     def _find_owner(self, key: Key) -> Member | None:
         if self.table is None:
             return None
@@ -291,16 +303,17 @@
         sequence = self._grants.confirmation.start_round(now_ms)
         heard = self._roster.build_bitmap(now_ms)
         leaving = self._roster.leaving
-        joining = None if self.is_member or leaving else self.member
-        # A member that knows of a newer table confirms nobody until it has it.
-        behind = self.known_version > self.table.version
+        joining = None if self.is_member or leaving or self._ended else self.member
+        # A member that knows of a newer table confirms nobody until it has it,
+        # and one that ended counts as having it.
+        mute = self._ended or self.known_version > self.table.version
         actions: list[CellAction] = []
         for name in self.table.members:
             if name == self.member.name:
                 continue
             incarnation, seen = self._seen.get(name, (0, 0))
-            echo = 0 if behind else seen
-            heartbeat = Heartbeat(sequence, echo, incarnation, heard, leaving, joining)
+            echo = 0 if mute else seen
+            heartbeat = Heartbeat(sequence, echo, incarnation, heard, leaving, joining, self._ended)
             actions.append(SendHeartbeat(name, heartbeat))
         return actions
 
@@ -409,10 +422,8 @@
         actions: list[CellAction] = [AdoptTable(table)]
         if former is not None:
             actions.extend(self._grants.list_releases(former, table, self.member, now_ms))
-            if self._roster.is_in(former) and not self.is_member:
-                # The cell removed this incarnation, which may not return.
-                self._roster.assume_next_incarnation()
-                self._grants.confirmation.forget()
+        if self._roster.renew_incarnation(former, table):
+            self._grants.confirmation.forget()
         self._refresh(now_ms)
         # Sent at once, since the change is installed only when others know of it.
         return [*actions, *self._send_round(now_ms)]
--- a/src/persimmonspur/model/messages.py
+++ b/src/persimmonspur/model/messages.py
@@ -108,6 +108,7 @@
     :param heard: bit i is set if the sender heard the i-th member of its table, by name order.
     :param leaving: whether the sender is about to end.
     :param joining: the sender's own entry while the table lacks it.
+    :param ended: whether this is the last message of the sender's incarnation.
     """
 
     sequence: int
@@ -116,6 +117,7 @@
     heard: int
     leaving: bool = False
     joining: Member | None = None
+    ended: bool = False
 
 
 class EndpointStatuses(msgspec.Struct, array_like=True, tag=5):
--- a/tests/core/ownership/test_cell.py
+++ b/tests/core/ownership/test_cell.py
@@ -233,6 +233,30 @@
     assert read_table(sim).members[owner].state is MemberState.LEAVING
 
 
+def test_graceful_end_of_a_majority_leaves_the_rest_able_to_change():
+    sim = form(members=3)
+    for name in ("m0", "m1"):
+        process = sim.processes[name]
+        process.handle(process.cell.begin_leaving)
+    sim.run(8_000.0)
+    for name in ("m0", "m1"):
+        process = sim.processes[name]
+        process.handle(process.cell.end)
+        assert not any(sim.ask(process, key) for key in sim.list_keys())
+        sim.kill(name)
+    sim.run_until(lambda: read_table(sim).members.keys() == {"m2"}, 5_000.0)
+    assert sim.all_usable()
+
+
+def test_instance_whose_clock_was_set_back_returns():
+    sim = form()
+    sim.incarnations = iter([7])
+    sim.restart("m1")
+    sim.run_until(lambda: read_table(sim).members["m1"].incarnation != 2_000, TAKEOVER_MS)
+    sim.run(1_000.0)
+    assert sim.processes["m1"].cell.is_member
+
+
 def test_leaving_member_is_not_named_while_the_object_api_is_down():
     sim = form()
     sim.store.down = True
--- a/tests/core/ownership/test_cell_machine.py
+++ b/tests/core/ownership/test_cell_machine.py
@@ -34,14 +34,19 @@
             process.paused = True
         self.sim.run(then)
 
-    @rule(then=pauses, name=names, how=st.sampled_from(["kill", "restart", "restart", "leave"]))
+    @rule(
+        then=pauses, name=names, how=st.sampled_from(["kill", "end", "restart", "restart", "leave"])
+    )
     def end(self, then, name, how):
         process = self.sim.processes[name]
         if how == "kill":
             self.sim.kill(name)
+        elif how == "end" and process.alive and not process.paused:
+            process.handle(process.cell.end)
+            self.sim.kill(name)
         elif how == "restart":
             self.sim.restart(name)
-        else:
+        elif how == "leave":
             process.handle(process.cell.begin_leaving)
         self.sim.run(then)
 
