--- a/tests/core/ownership/test_cell.py
+++ b/tests/core/ownership/test_cell.py
@@ -189,11 +189,13 @@
 
 def test_one_member_writes_a_change_that_all_see():
     sim = form()
-    sim.store.writes = 0
+    sim.store.reads = sim.store.writes = 0
+    # Slow enough for the others to see the need before the first write is known.
+    sim.store.delay_ms = 400.0
     sim.kill("m2")
     sim.run_until(lambda: "m2" not in read_table(sim).members, TAKEOVER_MS)
     sim.run(1_000.0)
-    assert sim.store.writes == 1
+    assert (sim.store.reads, sim.store.writes) == (1, 1)
 
 
 def test_racing_writers_leave_one_table():
@@ -220,6 +222,52 @@
     assert {cell.table_version for cell in live} == {version + 1}
 
 
+def test_write_without_a_reply_is_read_back_at_once():
+    process = form().processes["m0"]
+    todo = process.cell.observe_write("m0/1000/1", None, process.now())
+    assert [type(action).__name__ for action in todo] == ["ReadTable"]
+
+
+def test_member_with_an_older_configuration_does_not_undo_a_newer_one():
+    sim = form()
+    sim.configuration = 2, build_configuration(6)
+    for name in ("m0", "m1"):
+        sim.configure(sim.processes[name])
+    sim.run_until(lambda: read_table(sim).configuration_version == 2, TAKEOVER_MS)
+    version = read_table(sim).version
+    sim.run(20_000.0)
+    owned = [key for key, entry in read_table(sim).assignments.items() if entry.owner]
+    assert len(owned) == 6
+    assert read_table(sim).version <= version + 1
+
+
+def test_pending_change_costs_few_reads_during_an_outage():
+    sim = form()
+    sim.store.down = True
+    sim.kill("m2")
+    sim.run(60_000.0)
+    sim.store.reads = 0
+    sim.run(160_000.0)
+    assert sim.store.reads <= 4 * 160 / 16 + 4
+
+
+def test_member_that_knows_of_a_newer_table_confirms_nothing():
+    sim = form()
+    process = sim.processes["m1"]
+    sim.isolate("m1")
+    cell, now_ms = process.cell, process.now()
+    cell.observe_version("m0", cell.table_version + 1, now_ms)
+    confirmed_ms = cell._grants.confirmation.confirmed_ms
+    sequence = cell._grants.confirmation.start_round(now_ms)
+    for name in ("m0", "m2", "m3", "m4"):
+        incarnation = cell.table.members[name].incarnation
+        heartbeat = Heartbeat(10**6, sequence, cell.member.incarnation, 0)
+        cell.observe_heartbeat(name, incarnation, cell.table_version, heartbeat, now_ms + 1.0)
+    assert cell._grants.confirmation.confirmed_ms == confirmed_ms
+    sent = [action.heartbeat for action in cell._send_round(now_ms + 2.0)]
+    assert {heartbeat.echo_sequence for heartbeat in sent} == {0}
+
+
 def test_graceful_leave_hands_over_without_the_wait():
     sim = form()
     owner = find_owner(sim)
@@ -243,6 +291,8 @@
         process = sim.processes[name]
         process.handle(process.cell.end)
         assert not any(sim.ask(process, key) for key in sim.list_keys())
+        last = [body for _, sender, _, body in sim.sent if sender == name][-1]
+        assert (last.ended, last.echo_sequence) == (True, 0)
         sim.kill(name)
     sim.run_until(lambda: read_table(sim).members.keys() == {"m2"}, 5_000.0)
     assert sim.all_usable()
@@ -255,6 +305,11 @@
     sim.run_until(lambda: read_table(sim).members["m1"].incarnation != 2_000, TAKEOVER_MS)
     sim.run(1_000.0)
     assert sim.processes["m1"].cell.is_member
+    sim.kill("m1")
+    sim.run_until(lambda: "m1" not in read_table(sim).members, TAKEOVER_MS)
+    sim.incarnations = iter([7])
+    sim.restart("m1")
+    sim.run_until(lambda: "m1" in read_table(sim).members, TAKEOVER_MS)
 
 
 def test_leaving_member_is_not_named_while_the_object_api_is_down():
