Disconnect former members once the next table is known

Cause: the names to disconnect were those of the last table, which no longer held a member that the table before it had removed. The connection to a replaced instance stayed open and kept dialling. The test failed first.

--- a/src/persimmonspur/daemon/controllers/cell.py
+++ b/src/persimmonspur/daemon/controllers/cell.py
@@ -37,6 +37,7 @@
         self._cell = instance.cell
         self._key = f"cells/{instance.settings.cell}/table"
         self._table: CellTable | None = None
+        self._connected: set[str] = set()
         self._incarnation = instance.incarnation
         self._listed_ms = 0.0
         self._listing = False
@@ -145,10 +146,11 @@
         instance.metrics.table_version.set(table.version)
         instance.metrics.members.set(len(table.members))
         self._report_members(table)
-        former = self._table.members.keys() if self._table is not None else set()
         # Members of the version before may still have to be told of this one.
-        for name in former - table.members.keys() - table.joint_members:
+        for name in self._connected - table.members.keys() - table.joint_members:
             instance.transport.disconnect(name)
+            self._connected.discard(name)
+        self._connected |= table.members.keys()
         self._table = table
         instance.connect_members(table)
 
--- /dev/null
+++ b/tests/daemon/controllers/test_cell.py
@@ -0,0 +1,100 @@
+"""Guards the order in which a table change is carried out, and sends without the right to."""
+
+import pytest
+from attrs import evolve
+
+from fakes import build_instance
+from persimmonspur.core.endpoints.actions import Dispatch
+from persimmonspur.core.ownership.actions import AdoptTable, ReleaseBudgets
+from persimmonspur.core.ownership.table import Assignment, CellTable, encode_table
+from persimmonspur.daemon.controllers.cell import CellController
+from persimmonspur.daemon.controllers.endpoints import EndpointController
+from persimmonspur.errors import ErrorKind, Ran
+from persimmonspur.model.member import Member
+from persimmonspur.model.messages import Heartbeat, SubRequest
+from persimmonspur.model.query import SnapshotId
+from persimmonspur.ports import StoredObject
+
+OTHERS = {name: Member(name, 1, f"tcp://{name}", "", "alpha") for name in ("entry-2", "entry-3")}
+
+
+class Recorder:
+    """Stands for the transport and the other controllers; notes every call."""
+
+    def __init__(self):
+        self.calls = []
+
+    def __getattr__(self, name):
+        def record(*arguments):
+            self.calls.append((name, arguments))
+            return True
+
+        return record
+
+    @property
+    def names(self):
+        return [name for name, _ in self.calls]
+
+
+@pytest.fixture
+def instance():
+    instance, recorder = build_instance(), Recorder()
+    instance.transport = instance.endpoints = instance.endpoint_calls = recorder
+    instance.cells = CellController(instance)
+    return instance
+
+
+def build_table(instance, version=1, names=tuple(OTHERS)):
+    own = instance.cell.member
+    members = {own.name: own, **{name: OTHERS[name] for name in names}}
+    held = {"x": Assignment(own.name, own.incarnation, 1)}
+    return CellTable("main", version, "", members, frozenset(members), held)
+
+
+def test_new_owner_is_connected_before_and_gates_go_after_the_release(instance):
+    table = build_table(instance)
+    release = ReleaseBudgets("entry-2", 1, ("x",), ())
+    instance.cells.execute([AdoptTable(table), release])
+    order = instance.endpoints.names
+    assert order.index("connect") < order.index("release") < order.index("refresh")
+
+
+def test_former_member_is_disconnected_once_it_was_told(instance):
+    instance.cells.execute([AdoptTable(build_table(instance))])
+    less = build_table(instance, 2, ("entry-2",))
+    instance.cells.execute([AdoptTable(evolve(less, joint_members=frozenset(OTHERS)))])
+    assert "disconnect" not in instance.transport.names
+    instance.cells.execute([AdoptTable(evolve(less, version=3))])
+    assert ("disconnect", ("entry-3",)) in instance.transport.calls
+
+
+def test_unreadable_table_is_reported_and_not_adopted(instance):
+    key = "cells/main/table"
+    instance.object_api.objects[key] = StoredObject(key, 1, b"{}")
+    instance.cells._read()
+    assert instance.cell.table is None
+    assert "table_unreadable" in [entry.name for entry in instance.timeline.list_entries()]
+    instance.object_api.objects[key] = StoredObject(key, 2, encode_table(build_table(instance)))
+    instance.cell._store.finish()
+    instance.cells._read()
+    assert instance.cell.table_version == 1
+
+
+def test_end_is_stated_to_all_members(instance):
+    instance.cell.observe_table(build_table(instance), 0.0)
+    instance.cells.stop()
+    bodies = [call[1].body for name, call in instance.transport.calls if name == "send"]
+    assert [type(body) for body in bodies] == [Heartbeat, Heartbeat]
+    assert all(body.ended for body in bodies)
+
+
+def test_right_to_send_is_checked_right_before_the_send(instance):
+    request = SubRequest(
+        "r1", "q1", "s", "shard", "x", SnapshotId(1, 1), 50.0, 0, True, False, -1, None
+    )
+    gate = Recorder()
+    gate.endpoint = type("Named", (), {"name": "x"})
+    controller = EndpointController(instance)
+    outcome = controller._send(gate, Dispatch(request, 1e9))
+    assert (outcome.error, outcome.ran) == (ErrorKind.NOT_OWNER, Ran.NO)
+    assert "search" not in instance.endpoint_calls.names
