--- a/tests/core/ownership/test_cell.py
+++ b/tests/core/ownership/test_cell.py
@@ -374,30 +374,33 @@
     assert reads, "the object API is asked when the peer does not answer"
 
 
-def test_restarted_peer_cannot_confirm_for_its_predecessor():
-    """Guards the incarnation check: a restarted member forgot what it reported before."""
+def test_echo_confirms_only_for_the_incarnations_that_it_connects():
+    """Guards the incarnation checks and the check of the version beside an echo.
+
+    A restarted member forgot which versions its predecessor reported, and a
+    member that reports a newer table no longer stands for this one.
+    """
     sim = form(members=3)
-    owner = find_owner(sim)
-    process = sim.processes[owner]
-    others = [name for name in sim.processes if name != owner]
-    sim.isolate(owner)
-    sim.run(10.0)
-    table, now_ms = process.cell.table, process.now()
-    confirmed_ms = process.cell._grants.confirmation.confirmed_ms
-    sequence = process.cell._grants.confirmation.start_round(now_ms)
-    for name in others:
-        heartbeat = Heartbeat(1, sequence, process.cell.member.incarnation, 0)
-        newer = table.members[name].incarnation + 500
-        process.cell.observe_heartbeat(name, newer, 0, heartbeat, now_ms + 1.0)
-    # Nor does an echo of a round that this member's own predecessor sent, or one
-    # whose sender knows a newer table.
-    own = process.cell.member.incarnation
-    for echoed, version in ((own - 500, 0), (own, table.version + 1)):
+    process = sim.processes[find_owner(sim)]
+    cell, now_ms = process.cell, process.now()
+    others = [name for name in sim.processes if name != process.name]
+    confirmation = cell._grants.confirmation
+    confirmed_ms = confirmation.confirmed_ms
+    sequence = confirmation.start_round(now_ms)
+
+    def echo(incarnation, echo_incarnation, version):
         for name in others:
-            heartbeat = Heartbeat(2, sequence, echoed, 0)
-            present = table.members[name].incarnation
-            process.cell.observe_heartbeat(name, present, version, heartbeat, now_ms + 1.0)
-    assert process.cell._grants.confirmation.confirmed_ms == confirmed_ms
+            present = cell.table.members[name].incarnation
+            heartbeat = Heartbeat(10**6, sequence, echo_incarnation, 0)
+            cell.observe_heartbeat(name, present + incarnation, version, heartbeat, now_ms + 1.0)
+
+    own, version = cell.member.incarnation, cell.table_version
+    echo(0, own - 500, version)
+    assert confirmation.confirmed_ms == confirmed_ms, "an echo for this member's predecessor"
+    echo(500, own, version)
+    assert confirmation.confirmed_ms == confirmed_ms, "echoes of later incarnations"
+    echo(0, own, version + 1)
+    assert confirmation.confirmed_ms == confirmed_ms, "echoes of members with a newer table"
 
 
 def test_wait_of_a_new_owner_covers_the_slowest_clock():
