--- a/src/persimmonspur/core/requests/attempts.py
+++ b/src/persimmonspur/core/requests/attempts.py
@@ -92,14 +92,19 @@
         """Time after which a reply is missing."""
         return max(UNANSWERED_FLOOR_MS, UNANSWERED_PERCENTILES * self.estimate.p95_ms)
 
-    def count_room(self) -> int:
-        """Return how many first sub-requests may be sent now."""
+    def may_send(self, view: EndpointView) -> bool:
+        """Return whether a first sub-request may be sent to an endpoint now.
+
+        Sub-requests of bulk queries are long, and an endpoint does not
+        interrupt them. Beyond its class's share, a bulk query therefore
+        leaves the last free slot of an endpoint to more urgent queries.
+        """
         if not self.bulk:
-            return 1_000_000
+            return True
+        if len(self.running) >= QUERY_WINDOW:
+            return False
         outstanding = self.context.limits.count(self.service.name, self.query.priority_class)
-        room = min(QUERY_WINDOW - len(self.running), self.bound - outstanding)
-        # Without this, a query could starve while others of its class use up the bound.
-        return room if self.running else max(1, room)
+        return outstanding < self.bound or view.count_free_slots() > 1
 
     def send(
         self,
--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -153,12 +153,10 @@
         actions: list[CoordinationAction] = []
         attempts = self._attempts
         attempts.hedge_delay_ms = self._budget.compute_delay(attempts.estimate)
-        room = attempts.count_room()
         for target in targets:
-            if room <= 0:
+            if not attempts.may_send(target.view):
                 target.progress.waiting = self._pending = True
                 continue
-            room -= 1
             kind = SubRequestKind.FIRST
             attempts.send(target.progress, target.view, pinned.snapshot, kind, now_ms, actions)
         return self._advance(now_ms, actions)
@@ -199,8 +197,7 @@
                 progress.waiting = False
                 self._kill(progress, now_ms, actions)
                 continue
-            busy = view.backlog_ms > 0 and bool(self._attempts.running)
-            if busy or self._attempts.count_room() <= 0:
+            if not self._attempts.may_send(view):
                 self._pending = True
                 continue
             progress.waiting = False
--- a/src/persimmonspur/core/requests/limits.py
+++ b/src/persimmonspur/core/requests/limits.py
@@ -7,11 +7,8 @@
 # Classes from this priority on read in bulk; they may wait, and get no burst.
 BULK_PRIORITY = 2
 QUERY_WINDOW = 16
-# A query of an instance with a small share must still progress.
-LEAST_OUTSTANDING = 4
-# Slots are idle between a reply and the next sub-request, so that a class
-# needs more outstanding sub-requests than its share of the slots.
-SLOT_FACTOR = 2.0
+# The class must progress at instances whose share of the slots is less than one.
+LEAST_OUTSTANDING = 1
 DEFAULT_SHARE = 0.2
 
 
@@ -27,13 +24,13 @@
         self._shares = {known.name: known.share for known in classes}
 
     def compute_bound(self, service: Service, priority_class: str, coordinators: int) -> int:
-        """Return how many sub-requests a class may have outstanding at a service.
+        """Return how many sub-requests a class may always have outstanding at a service.
 
         :param coordinators: instances that share the service's slots.
         """
         slots = service.limits.slots * len(service.endpoints)
         share = self._shares.get(priority_class, DEFAULT_SHARE)
-        return max(LEAST_OUTSTANDING, int(SLOT_FACTOR * share * slots / max(1, coordinators)))
+        return max(LEAST_OUTSTANDING, int(share * slots / max(1, coordinators)))
 
     def count(self, service: str, priority_class: str) -> int:
         """Return the outstanding sub-requests of a class at a service."""
--- a/src/persimmonspur/core/routing/choice.py
+++ b/src/persimmonspur/core/routing/choice.py
@@ -1,6 +1,7 @@
 """Policies that choose among the replicas of a shard."""
 
 from collections.abc import Callable, Collection, Sequence
+from math import sqrt
 from random import Random
 
 from attrs import define
@@ -11,8 +12,9 @@
 from persimmonspur.registry import Registry
 
 JITTER = 0.2
-# A reported queue is worked off while it ages, but other coordinators add to it.
-DRAIN = 0.5
+# A reported queue is worked off while it ages, but others add to it. With 0.5 the simulated
+# fault-free p99 was 13.1 ms, with 0.1 it was 11.1 ms (tests/simulation.py, 40% load).
+DRAIN = 0.1
 SUSPECTED_MS = 200.0
 # Endpoints that look slow get this share of the work, so that their recovery is seen.
 EXPLORATION = 0.001
@@ -73,7 +75,7 @@
         return usable
     kept = remove_ejected(usable, replicas, now_ms)
     warm = [view for view in kept if view.warm]
-    free = [view for view in kept if not view.warm and _has_free_slot(view)]
+    free = [view for view in kept if not view.warm and view.count_free_slots() > 0]
     if free and (not warm or context.rng.random() < COLD_SHARE):
         return free
     return warm or kept
@@ -117,9 +119,10 @@
     """Choose the replica with the lowest expected wait.
 
     All coordinators see the same statuses. Each therefore counts every
-    sub-request that it sent since the latest figures once per coordinator, as
-    the others probably did the same; otherwise all of them would send to the
-    same replica until its next status.
+    sub-request that it sent since the latest figures several times, as the
+    others probably did the same; otherwise all of them would send to the same
+    replica until its next status. The square root of their number is enough
+    to spread the work, and too little to make a straggler look attractive.
     """
     random = context.rng.random
     if not replicas:
@@ -128,12 +131,13 @@
         return context.rng.choice(replicas)
     now_ms = context.now_ms
     domain = context.failure_domain
-    coordinators = context.view.coordinators
+    crowd = sqrt(context.view.coordinators)
     best: EndpointView | None = None
     best_ms = 0.0
     for view in replicas:
-        wait_ms = view.base_ms + view.sent_since * coordinators * view.unit_ms
-        backlog_ms = view.backlog_ms - DRAIN * (now_ms - view.reported_ms)
+        wait_ms = view.base_ms
+        backlog_ms = view.backlog_ms + view.sent_since * crowd * view.unit_ms
+        backlog_ms -= DRAIN * (now_ms - view.reported_ms)
         if backlog_ms > 0:
             wait_ms += backlog_ms
         if view.endpoint.failure_domain != domain:
@@ -148,13 +152,6 @@
 
 def estimate_wait(view: EndpointView, now_ms: float) -> float:
     """Return the expected time until an endpoint's reply, in milliseconds."""
-    backlog_ms = view.backlog_ms - DRAIN * (now_ms - view.reported_ms)
-    wait_ms = view.base_ms + view.sent_since * view.unit_ms
-    return wait_ms + backlog_ms if backlog_ms > 0 else wait_ms
-
-
-def _has_free_slot(view: EndpointView) -> bool:
-    status = view.status
-    if status is None or status.queue > 0:
-        return False
-    return max(status.running + view.sent_since, view.outstanding) < status.limit
+    backlog_ms = view.backlog_ms + view.sent_since * view.unit_ms
+    backlog_ms -= DRAIN * (now_ms - view.reported_ms)
+    return view.base_ms + max(0.0, backlog_ms)
--- a/src/persimmonspur/core/routing/view.py
+++ b/src/persimmonspur/core/routing/view.py
@@ -89,7 +89,7 @@
     """
 
     endpoint: Endpoint
-    routing: "RoutingView"
+    routing: "RoutingView" = field(repr=False)
     service: ServiceView
     status: EndpointStatus | None = None
     outstanding: int = 0
@@ -137,6 +137,14 @@
             self.ready = ready
             self.routing.generation += 1
 
+    def count_free_slots(self) -> int:
+        """Return how many slots are free by the latest figures and own sub-requests since."""
+        status = self.status
+        if status is None:
+            return 0
+        taken = max(status.queue + status.running + self.sent_since, self.outstanding)
+        return status.limit - taken
+
     def observe_figures(self, queue: int, running: int, limit: int, now_ms: float) -> None:
         """Take queue figures."""
         status = self.status
@@ -258,15 +266,13 @@
         view = self.endpoints.get(status.endpoint)
         if view is None:
             return
-        if now_ms is not None:
-            self.refresh(now_ms)
         owner = view.owner_view
         if sender is None:
             owner.local = True
         elif sender != owner.name:
             return
         if now_ms is not None:
-            owner.heard_ms = now_ms
+            self._hear(owner, now_ms)
         view.reported_ms = now_ms if now_ms is not None else self._refreshed_ms
         view.status = status
         view.status_owner = owner.name
@@ -296,7 +302,8 @@
         if owner is None:
             return
         if now_ms is not None:
-            owner.heard_ms = owner.replied_ms = now_ms
+            owner.replied_ms = now_ms
+            self._hear(owner, now_ms)
             # A reply refutes the suspicion that the owner is frozen.
             if owner.avoided_until_ms > now_ms:
                 owner.avoided_until_ms = now_ms
@@ -321,3 +328,11 @@
             if view.ready:
                 count += 1
         return count
+
+    def _hear(self, owner: OwnerView, now_ms: float) -> None:
+        owner.heard_ms = now_ms
+        if not owner.suspected:
+            return
+        owner.refresh(now_ms)
+        for view in self.endpoints.values():
+            view.update_readiness()
