--- a/src/persimmonspur/core/requests/admission.py
+++ b/src/persimmonspur/core/requests/admission.py
@@ -15,6 +15,8 @@
 LEAST_RETRY_AFTER_MS = 10.0
 # Queries that are left with less than this part of the class's mean time are not started.
 LEAST_TIME_SHARE = 0.5
+# Priority of classes that are not declared: less urgent than all others.
+UNDECLARED = 1_000
 
 
 @frozen
@@ -52,7 +54,7 @@
 class _Class:
     priority: int
     share: float
-    guaranteed: int = 1
+    guaranteed: int = 0
     running: int = 0
     mean_ms: float = 0.0
     queue: list[tuple[float, int]] = field(factory=list)
@@ -90,6 +92,8 @@
 
     def configure(self, classes: tuple[PriorityClass, ...]) -> None:
         """Take the declared classes; queries of dropped classes finish as they are."""
+        for former in self._classes.values():
+            former.priority, former.share, former.guaranteed = UNDECLARED, 0.0, 0
         for known in classes:
             state = self._classes.get(known.name)
             if state is None:
@@ -171,14 +175,13 @@
         return running < self._concurrency
 
     def _estimate_wait(self, state: _Class) -> float:
-        slots = max(state.guaranteed, state.running)
+        slots = max(1, state.guaranteed, state.running)
         return (len(state.queue) + 1) * state.mean_ms / slots
 
     def _get_class(self, name: str) -> _Class:
         state = self._classes.get(name)
         if state is None:
-            # Dropped or never declared: least urgent, without a share.
-            state = self._classes[name] = _Class(1_000, 0.0)
+            state = self._classes[name] = _Class(UNDECLARED, 0.0)
         return state
 
     def _admit(self, request: AdmissionRequest, state: _Class, now_ms: float) -> Admit:
--- a/src/persimmonspur/core/requests/attempts.py
+++ b/src/persimmonspur/core/requests/attempts.py
@@ -9,7 +9,7 @@
     SubRequestKind,
 )
 from persimmonspur.core.requests.context import CoordinationContext
-from persimmonspur.core.requests.limits import BULK_PRIORITY, QUERY_WINDOW
+from persimmonspur.core.requests.limits import BULK_PRIORITY, QUERY_WINDOW, BulkLoad
 from persimmonspur.core.requests.progress import Attempt, RanLedger, ShardProgress
 from persimmonspur.core.routing.hedging import ExtraBudget
 from persimmonspur.core.routing.latency import LatencyEstimate
@@ -23,6 +23,10 @@
 UNANSWERED_PERCENTILES = 3.0
 UNANSWERED_FLOOR_MS = 50.0
 LEAST_RETRY_AFTER_MS = 10.0
+# How soon to ask again for a hedge, retry or slot that a budget or bound denied.
+RECHECK_MS = 10.0
+# Bulk queries that are next to send ask more often, or slots would stay idle between them.
+NEXT_RECHECK_MS = 2.0
 
 _FAULTS = frozenset((ErrorKind.ENDPOINT_FAILED, ErrorKind.UNREACHABLE, ErrorKind.INTERNAL))
 _UNAVAILABLE = frozenset(
@@ -37,7 +41,8 @@
 
     :param prefix: makes the ids of sub-requests unique.
     :param conclude_ms: when the query is answered at the latest.
-    :param bound: outstanding sub-requests allowed to the query's class, if it reads in bulk.
+    :param load: load of the query's class, if it reads in bulk.
+    :param bound: sub-requests that the class may always have outstanding.
     :param due_ms: when the next attempt needs attention.
     """
 
@@ -50,9 +55,10 @@
     conclude_ms: float
     estimate: LatencyEstimate
     budget: ExtraBudget
+    load: BulkLoad | None
     bound: int
-    bulk: bool
     sent: int = 0
+    held: int = 0
     due_ms: float = float("inf")
     hedge_delay_ms: float = 0.0
     overloaded_after_ms: float | None = None
@@ -73,6 +79,7 @@
         prefix = context.begin(now_ms)
         service = context.view.services[query.service]
         name = query.priority_class
+        bulk = priority >= BULK_PRIORITY and context.bulk_bounds
         return cls(
             query,
             priority,
@@ -83,8 +90,8 @@
             conclude_ms,
             context.latencies.get(service.name, name, service.typical_ms),
             context.budgets.get(service.name),
+            context.limits.get(service.name, name) if bulk else None,
             context.limits.compute_bound(service, name, context.view.coordinators),
-            priority >= BULK_PRIORITY,
         )
 
     @property
@@ -96,15 +103,43 @@
         """Return whether a first sub-request may be sent to an endpoint now.
 
         Sub-requests of bulk queries are long, and an endpoint does not
-        interrupt them. Beyond its class's share, a bulk query therefore
-        leaves the last free slot of an endpoint to more urgent queries.
+        interrupt them. A bulk query therefore takes only free slots, and
+        beyond its class's share it leaves half of an endpoint's slots to more
+        urgent queries. Only while its class has nothing outstanding at all
+        may it wait in a queue.
         """
-        if not self.bulk:
+        load = self.load
+        if load is None:
             return True
-        if len(self.running) >= QUERY_WINDOW:
+        if load.is_behind(self):
             return False
-        outstanding = self.context.limits.count(self.service.name, self.query.priority_class)
-        return outstanding < self.bound or view.count_free_slots() > 1
+        if load.outstanding == 0:
+            return True
+        if len(self.running) >= QUERY_WINDOW or view.status is None:
+            return False
+        free = view.count_free_slots()
+        least = 0 if load.outstanding < self.bound else view.status.limit // 2
+        return free > least
+
+    def hold(self, progress: ShardProgress) -> None:
+        """Keep back the first sub-request of a shard until there is room."""
+        assert self.load is not None
+        progress.waiting = True
+        self.held += 1
+        self.load.hold(self)
+
+    def release(self, progress: ShardProgress) -> None:
+        """Stop to keep back the first sub-request of a shard."""
+        assert self.load is not None
+        progress.waiting = False
+        self.held -= 1
+        self.load.release(self, last=self.held == 0)
+
+    def get_recheck_ms(self) -> float:
+        """Return how soon to ask again for what was denied."""
+        if self.load is not None and self.load.is_next(self):
+            return NEXT_RECHECK_MS
+        return RECHECK_MS
 
     def send(
         self,
@@ -145,8 +180,8 @@
             self.due_ms = due_ms
         if first:
             self.budget.add_first(1)
-        if self.bulk:
-            self.context.limits.add(self.service.name, query.priority_class, 1)
+        if self.load is not None:
+            self.load.outstanding += 1
         actions.append(SendSubRequest(owner.name, request, kind))
 
     def settle(self, attempt: Attempt, reply: SubReply, now_ms: float) -> None:
@@ -202,8 +237,8 @@
         del self.running[attempt.request.id]
         attempt.progress.attempts.remove(attempt)
         attempt.view.outstanding -= 1
-        if self.bulk:
-            self.context.limits.add(self.service.name, self.query.priority_class, -1)
+        if self.load is not None:
+            self.load.settle()
 
     def _learn_from_error(self, attempt: Attempt, reply: SubReply, now_ms: float) -> None:
         view = attempt.view
--- a/src/persimmonspur/core/requests/context.py
+++ b/src/persimmonspur/core/requests/context.py
@@ -25,6 +25,7 @@
     :param policy: name of the choice policy.
     :param extras: whether hedges and retries are sent at all.
     :param early_rejection: whether queries that cannot finish in time are rejected at once.
+    :param bulk_bounds: whether the outstanding sub-requests of bulk queries are bounded.
     :param origin: unique to this process; part of every sub-request id, since two
         coordinators may run the same request at once.
     """
@@ -35,6 +36,7 @@
     policy: str = "expected_wait"
     extras: bool = True
     early_rejection: bool = True
+    bulk_bounds: bool = True
     origin: str = "c"
     latencies: LatencyBook = field(factory=LatencyBook)
     budgets: BudgetBook = field(factory=BudgetBook)
--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -9,7 +9,11 @@
     WakeAt,
 )
 from persimmonspur.core.requests.answers import build_answer, build_rejection
-from persimmonspur.core.requests.attempts import LEAST_RETRY_AFTER_MS, Attempts
+from persimmonspur.core.requests.attempts import (
+    LEAST_RETRY_AFTER_MS,
+    RECHECK_MS,
+    Attempts,
+)
 from persimmonspur.core.requests.context import CoordinationContext
 from persimmonspur.core.requests.progress import Attempt, ShardProgress
 from persimmonspur.core.requests.snapshots import PinnedSnapshot
@@ -28,8 +32,6 @@
 __all__ = ["HOP_MARGIN_MS", "Coordination", "CoordinationContext"]
 
 HOP_MARGIN_MS = 2.0
-# How soon to ask again for a hedge, retry or slot that a budget or bound denied.
-RECHECK_MS = 10.0
 # Replies may wait unread after the process itself stood still for this long.
 STALL_MS = 50.0
 # Part of the remaining time that the expected wait may take. The rest covers
@@ -77,8 +79,7 @@
         self._extras = query.repeatable and context.extras
         self._shards: dict[str, ShardProgress] = {}
         self._open = 0
-        # Whether shards wait for room or for the budget.
-        self._pending = False
+        # Whether retries wait for the budget.
         self._owing = False
         self._wake_ms = float("inf")
 
@@ -102,7 +103,7 @@
             self._complete(progress, reply, now_ms, actions)
         elif not progress.attempts:
             self._replace(progress, reply, now_ms, actions)
-        if self._pending and self._open:
+        if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
         return self._advance(now_ms, actions)
 
@@ -125,7 +126,7 @@
             self._check(attempt, now_ms, actions)
         if self._owing:
             self._retry_owed(now_ms, actions)
-        if self._pending and self._open:
+        if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
         self._attempts.update_due()
         return self._advance(now_ms, actions)
@@ -155,7 +156,7 @@
         attempts.hedge_delay_ms = self._budget.compute_delay(attempts.estimate)
         for target in targets:
             if not attempts.may_send(target.view):
-                target.progress.waiting = self._pending = True
+                attempts.hold(target.progress)
                 continue
             kind = SubRequestKind.FIRST
             attempts.send(target.progress, target.view, pinned.snapshot, kind, now_ms, actions)
@@ -170,7 +171,8 @@
 
     def _measure_excess(self, targets: list[_Target], now_ms: float) -> float:
         """Return by how much the slowest shard's expected wait exceeds what is allowed."""
-        worst_ms = 0.0
+        load = self._attempts.load
+        worst_ms = load.estimate_wait(now_ms) if load is not None else 0.0
         for target in targets:
             view = target.view
             # Only the wait counts: the endpoint's mean service time is that of
@@ -185,8 +187,10 @@
         """Send first sub-requests that the bounds of bulk queries held back."""
         assert self.pinned is not None
         context = self._context
+        load = self._attempts.load
+        if load is None or load.is_behind(self._attempts):
+            return
         context.choice.now_ms = now_ms
-        self._pending = False
         for progress in list(self._shards.values()):
             if not progress.waiting:
                 continue
@@ -194,13 +198,12 @@
             usable = find_usable(replicas, self.pinned.snapshot, ())
             view = self._choose_first(progress, usable)
             if view is None:
-                progress.waiting = False
+                self._attempts.release(progress)
                 self._kill(progress, now_ms, actions)
                 continue
             if not self._attempts.may_send(view):
-                self._pending = True
                 continue
-            progress.waiting = False
+            self._attempts.release(progress)
             kind = SubRequestKind.FIRST
             self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
 
@@ -331,11 +334,16 @@
             return
         self.restarted = True
         self._attempts.abandon_all(now_ms, actions)
-        for former in self._shards.values():
-            former.owed = former.waiting = False
+        self._drop_pending()
         self._shards.clear()
         actions.extend(self._begin(newer, now_ms))
 
+    def _drop_pending(self) -> None:
+        for progress in self._shards.values():
+            progress.owed = False
+            if progress.waiting:
+                self._attempts.release(progress)
+
     def _find_newer(self, progress: ShardProgress, now_ms: float) -> PinnedSnapshot | None:
         """Return a newer snapshot if the pinned one is lost and time permits a restart."""
         assert self.pinned is not None
@@ -362,8 +370,8 @@
             actions.extend(self._conclude(now_ms))
             return actions
         wake_ms = min(self._conclude_ms, self._attempts.due_ms)
-        if self._pending or self._owing:
-            wake_ms = min(wake_ms, now_ms + RECHECK_MS)
+        if self._owing or self._attempts.held:
+            wake_ms = min(wake_ms, now_ms + self._attempts.get_recheck_ms())
         if wake_ms < self._wake_ms:
             self._wake_ms = wake_ms
             actions.append(WakeAt(wake_ms))
@@ -375,6 +383,8 @@
         attempts = self._attempts
         actions: list[CoordinationAction] = []
         attempts.abandon_all(now_ms, actions)
+        if attempts.held:
+            self._drop_pending()
         answer = build_answer(
             self.query,
             self.pinned,
--- a/src/persimmonspur/core/requests/limits.py
+++ b/src/persimmonspur/core/requests/limits.py
@@ -12,12 +12,82 @@
 DEFAULT_SHARE = 0.2
 
 
+# Long enough for several sub-requests of a class to finish.
+RATE_WINDOW_MS = 500.0
+RATE_WEIGHT = 0.5
+
+
+@define(eq=False)
+class BulkLoad:
+    """What one bulk class has outstanding at one service, and what it holds back.
+
+    :param outstanding: sub-requests without a reply.
+    :param held: first sub-requests that wait for room.
+    :param queue: the queries that hold some back, oldest first.
+    """
+
+    outstanding: int = 0
+    held: int = 0
+    queue: list[object] = field(factory=list)
+    _settled: int = 0
+    _window_ms: float = 0.0
+    _always_held: bool = False
+    _rate: float = 0.0
+
+    def hold(self, query: object) -> None:
+        """Hold back a sub-request of a query."""
+        self.held += 1
+        if query not in self.queue:
+            self.queue.append(query)
+
+    def release(self, query: object, *, last: bool) -> None:
+        """Stop to hold back a sub-request of a query.
+
+        :param last: whether the query holds back no other.
+        """
+        self.held -= 1
+        if last:
+            self.queue.remove(query)
+
+    def is_next(self, query: object) -> bool:
+        """Return whether a query is among the first two that wait."""
+        return query in self.queue[:2]
+
+    def is_behind(self, query: object) -> bool:
+        """Return whether an older query waits.
+
+        If all of them progressed at once, all of them would miss their deadlines.
+        """
+        return bool(self.queue) and self.queue[0] is not query
+
+    def settle(self) -> None:
+        """Count the end of a sub-request."""
+        self.outstanding -= 1
+        self._settled += 1
+
+    def estimate_wait(self, now_ms: float) -> float:
+        """Return how long a new first sub-request would be held, in milliseconds.
+
+        The rate at which sub-requests finish is only known from times in
+        which some were held all along; without them it is the demand.
+        """
+        elapsed_ms = now_ms - self._window_ms
+        self._always_held = self._always_held and self.held > 0
+        if elapsed_ms >= RATE_WINDOW_MS:
+            if self._always_held:
+                rate = self._settled / elapsed_ms
+                self._rate += (RATE_WEIGHT if self._rate > 0 else 1.0) * (rate - self._rate)
+            self._window_ms, self._settled = now_ms, 0
+            self._always_held = self.held > 0
+        return self.held / self._rate if self._rate > 0 else 0.0
+
+
 @define
 class OutstandingLimits:
-    """Counts the outstanding sub-requests of bulk classes at this coordinator."""
+    """Bounds the outstanding sub-requests of bulk classes at this coordinator."""
 
     _shares: dict[str, float] = field(factory=dict)
-    _outstanding: dict[tuple[str, str], int] = field(factory=dict)
+    _loads: dict[tuple[str, str], BulkLoad] = field(factory=dict)
 
     def configure(self, classes: tuple[PriorityClass, ...]) -> None:
         """Take the declared classes."""
@@ -32,11 +102,6 @@
         share = self._shares.get(priority_class, DEFAULT_SHARE)
         return max(LEAST_OUTSTANDING, int(share * slots / max(1, coordinators)))
 
-    def count(self, service: str, priority_class: str) -> int:
-        """Return the outstanding sub-requests of a class at a service."""
-        return self._outstanding.get((service, priority_class), 0)
-
-    def add(self, service: str, priority_class: str, change: int) -> None:
-        """Count sub-requests that were sent (positive) or settled (negative)."""
-        key = (service, priority_class)
-        self._outstanding[key] = self._outstanding.get(key, 0) + change
+    def get(self, service: str, priority_class: str) -> BulkLoad:
+        """Return the load of a class at a service."""
+        return self._loads.setdefault((service, priority_class), BulkLoad())
--- a/tests/core/requests/test_coordination_machine.py
+++ b/tests/core/requests/test_coordination_machine.py
@@ -75,23 +75,32 @@
         self.states[name] = (state, usable, snapshots)
         report(self.view, name, self.now_ms, state, usable, snapshots)
 
-    @rule(name=names, state=st.sampled_from(["warm", "warm", "cold"]), usable=st.booleans())
-    def change_status(self, name, state, usable):
-        self.set_status(name, state, usable, [0, 1])
-
-    @rule(name=names, held=st.sampled_from([[0], [1], [0, 1, 2], [2], []]))
-    def change_snapshots(self, name, held):
-        self.set_status(name, "warm", True, held)
+    @rule(
+        change=st.sampled_from(["cold", "unusable", "holds", "moves", "all", "all"]),
+        name=names,
+        held=st.sampled_from([[0], [0, 1], [0, 1, 2], [2], []]),
+        owner=st.sampled_from(OWNERS),
+    )
+    def change_endpoints(self, change, name, held, owner):
+        if change == "all":
+            for endpoint in ENDPOINTS:
+                self.set_status(endpoint.name, "warm", True, held or [0, 1])
+        elif change == "moves":
+            self.view.endpoints[name].owner = owner
+            self.set_status(name, *self.states[name][:2], [0, 1])
+        elif change == "holds":
+            self.set_status(name, "warm", True, held)
+        else:
+            self.set_status(name, "cold" if change == "cold" else "warm", change == "cold", [0, 1])
 
-    @rule(held=st.sampled_from([[0, 1], [1, 2], [2]]))
-    def change_all_snapshots(self, held):
+    @precondition(lambda self: self.run is not None and self.sent)
+    @rule(data=st.data())
+    def replace_snapshots(self, data):
+        """Every endpoint moves on to the newest snapshot while a sub-request is on its way."""
         for endpoint in ENDPOINTS:
-            self.set_status(endpoint.name, "warm", True, held)
-
-    @rule(name=names, owner=st.sampled_from(OWNERS))
-    def move_endpoint(self, name, owner):
-        self.view.endpoints[name].owner = owner
-        self.set_status(name, *self.states[name][:2], [0, 1])
+            self.set_status(endpoint.name, "warm", True, [2])
+        request = data.draw(st.sampled_from(self.sent)).request
+        self.deliver(build_reply(request, error=ErrorKind.SNAPSHOT_NOT_HELD, ran=Ran.NO))
 
     @rule(count=st.sampled_from([20, 100, 400]))
     def run_other_queries(self, count):
@@ -299,7 +308,8 @@
     def view_is_idle(self):
         for view in self.view.endpoints.values():
             assert view.outstanding == 0
-        assert self.context.limits.count("desk", "batch") == 0
+        load = self.context.limits.get("desk", "batch")
+        assert (load.outstanding, load.held) == (0, 0)
 
     @invariant()
     def extra_load_is_within_the_budget(self):
@@ -310,5 +320,5 @@
         assert hedges + self.extras[SubRequestKind.RETRY] <= 2 + 0.05 * self.firsts + 1e-6
 
 
-CoordinationMachine.TestCase.settings = settings(max_examples=250, stateful_step_count=40)
+CoordinationMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=60)
 TestCoordinationMachine = CoordinationMachine.TestCase
--- /dev/null
+++ b/tests/core/routing/test_hedging.py
@@ -0,0 +1,100 @@
+"""Guards the budgets of hedges and retries and the latency estimates behind them."""
+
+from random import Random
+
+from persimmonspur.core.routing.hedging import FLOOR_MS, MOST_EXTRAS, MOST_HEDGES, ExtraBudget
+from persimmonspur.core.routing.latency import LatencyEstimate
+
+
+def take_all(take):
+    count = 0
+    while take():
+        count += 1
+    return count
+
+
+def test_a_new_budget_allows_one_hedge_and_two_extras():
+    budget = ExtraBudget()
+    assert take_all(budget.take_hedge) == 1
+    assert take_all(budget.take_retry) == 1
+
+
+def test_hedges_earn_2_percent_and_together_with_retries_5_percent():
+    budget = ExtraBudget()
+    hedges = retries = 0
+    for _ in range(10_000):
+        budget.add_first(1)
+        hedges += budget.take_hedge()
+        retries += budget.take_retry()
+    assert 199 <= hedges <= 201
+    assert 499 <= hedges + retries <= 502
+
+
+def test_savings_are_bounded():
+    budget = ExtraBudget()
+    budget.add_first(1_000_000)
+    assert take_all(budget.take_hedge) == MOST_HEDGES
+    assert take_all(budget.take_retry) == MOST_EXTRAS - MOST_HEDGES
+
+
+def test_a_saturated_service_gets_no_hedges():
+    budget = ExtraBudget()
+    budget.add_first(10_000)
+    for _ in range(100):
+        budget.observe_queue(4, 2)
+    assert budget.saturated and not budget.take_hedge()
+    for _ in range(100):
+        budget.observe_queue(0, 2)
+    assert not budget.saturated and budget.take_hedge()
+
+
+def test_the_delay_has_a_floor_and_grows_while_the_budget_is_spent():
+    estimate = LatencyEstimate(4.0)
+    budget = ExtraBudget()
+    budget.add_first(1_000_000)
+    assert budget.compute_delay(estimate) == estimate.p95_ms
+    take_all(budget.take_hedge)
+    assert budget.compute_delay(estimate) == estimate.p99_ms
+    estimate.p95_ms = estimate.p99_ms = 1.0
+    assert budget.compute_delay(estimate) == FLOOR_MS
+
+
+def test_percentiles_are_within_the_width_of_a_bucket():
+    rng = Random(3)
+    values = [rng.lognormvariate(2.0, 0.8) for _ in range(2_000)]
+    estimate = LatencyEstimate(4.0)
+    for value in values:
+        estimate.observe(value, 0.0)
+    values.sort()
+    assert 0.99 <= estimate.p95_ms / values[1_899] <= 1.12
+    assert 0.99 <= estimate.p99_ms / values[1_979] <= 1.15
+
+
+def test_a_changed_service_is_seen_and_idle_time_forgets():
+    estimate = LatencyEstimate(4.0)
+    for _ in range(10_000):
+        estimate.observe(5.0, 0.0)
+    for _ in range(2_500):
+        estimate.observe(50.0, 1.0)
+    assert estimate.p95_ms > 45
+    for index in range(900):
+        estimate.observe(5.0, 10_100.0 * (1 + index // 100))
+    assert estimate.p95_ms < 6
+
+
+def test_extreme_latencies_are_counted_in_the_outer_buckets():
+    estimate = LatencyEstimate(4.0)
+    for _ in range(64):
+        estimate.observe(0.0, 0.0)
+    assert estimate.p95_ms < 0.5
+    for _ in range(10_000):
+        estimate.observe(1e9, 0.0)
+    assert estimate.p95_ms > 60_000
+
+
+def test_the_assumption_holds_until_there_are_enough_observations():
+    estimate = LatencyEstimate(4.0)
+    for _ in range(10):
+        estimate.observe(500.0, 0.0)
+    assert estimate.p95_ms == 12.0
+    assert estimate.observe_service(8.0) == 2.0
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -148,6 +148,7 @@
                 policy=policy,
                 extras=not naive,
                 early_rejection=not naive,
+                bulk_bounds=not naive,
                 origin=f"c{index}",
             )
             for index in range(coordinators)
