--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -94,8 +94,9 @@
     @property
     def ready(self) -> bool:
         """Whether the instance can serve queries."""
-        known = self.holder.version > 0 and self.cell.table_version > 0
-        return known and self.phase is Phase.SERVING
+        if self.phase is not Phase.SERVING or not self.configurations.settled:
+            return False
+        return self.holder.version > 0 and self.cell.table_version > 0
 
     @property
     def leaving(self) -> bool:
@@ -126,12 +127,15 @@
             self.cell.observe_version(envelope.sender, envelope.table_version, now_ms)
         )
         self.configurations.observe_version(envelope.sender, envelope.configuration_version)
+        self.endpoints.observe_member(
+            envelope.sender, envelope.incarnation, envelope.configuration_version
+        )
 
     def send(self, receiver: str, body: Body) -> bool:
         """Send a message to a peer; it may be lost."""
         envelope = Envelope(
             self.settings.instance,
-            self.incarnation,
+            self.cell.member.incarnation,
             self.clock.now_ms(),
             self.cell.table_version,
             self.holder.version,
@@ -161,7 +165,8 @@
         self.admission.configure(configuration.classes)
         self.endpoint_calls.configure(configuration)
         self._update_owners()
-        self.cells.execute(self.cell.configure(configuration, self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        self.cells.execute(self.cell.configure(configuration, now_ms, self.holder.version))
         self.endpoints.refresh()
 
     def _update_owners(self) -> None:
