Prefer warm replicas for placements before warming ones

Cause: the choice for placements used the rule for first sub-requests, which gives a cold replica a 5% share even if a warm one is left. A placement now goes to a warming replica only if no warm one is left.

--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -291,8 +291,10 @@
         otherwise a failure domain that goes out while others warm up costs answers.
         """
         assert self.pinned is not None
+        warm = self._choose_other(progress, now_ms)
+        if warm is not None:
+            return warm
         context = self._context
-        context.choice.now_ms = now_ms
         replicas = context.view.list_replicas(self._service.name, progress.name)
         usable = find_usable(replicas, self.pinned.snapshot, progress.tried)
         remaining_ms = self._conclude_ms - now_ms
--- a/tests/core/requests/test_query_coordination.py
+++ b/tests/core/requests/test_query_coordination.py
@@ -157,6 +157,20 @@
     assert bench.answer.missing_shards == ("s0",)
 
 
+def test_a_placement_prefers_warm_replicas_to_warming_ones():
+    for seed in range(20):
+        bench = Bench(budget=0)
+        bench.context.rng.seed(seed)
+        report(bench.view, "s0-r1", 0.0, state="warming")
+        bench.start()
+        if bench.sent[0].request.endpoint == "s0-r1":
+            continue
+        bench.reply(error=ErrorKind.ENDPOINT_DRAINING, ran=Ran.NO)
+        assert bench.sent[1].request.endpoint != "s0-r1"
+        bench.reply(error=ErrorKind.ENDPOINT_DRAINING, ran=Ran.NO)
+        assert bench.sent[2].request.endpoint == "s0-r1"
+
+
 def test_a_failed_repeatable_sub_request_is_retried_and_others_are_not():
     bench = Bench().start()
     bench.reply(error=ErrorKind.ENDPOINT_FAILED, ran=Ran.UNKNOWN)
