--- a/src/persimmonspur/core/requests/attempts.py
+++ b/src/persimmonspur/core/requests/attempts.py
@@ -178,8 +178,6 @@
         view.sent_since += 1
         if due_ms < self.due_ms:
             self.due_ms = due_ms
-        if first:
-            self.budget.add_first(1)
         if self.load is not None:
             self.load.outstanding += 1
         actions.append(SendSubRequest(owner.name, request, kind))
--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -105,6 +105,8 @@
             self._replace(progress, reply, now_ms, actions)
         if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
+        if not actions and self._open and not self._owing:
+            return actions
         return self._advance(now_ms, actions)
 
     def wake(self, now_ms: float) -> list[CoordinationAction]:
@@ -153,6 +155,7 @@
                 return self._reject(ErrorKind.OVERLOADED, message, after_ms)
         actions: list[CoordinationAction] = []
         attempts = self._attempts
+        sent = attempts.sent
         attempts.hedge_delay_ms = self._budget.compute_delay(attempts.estimate)
         for target in targets:
             if not attempts.may_send(target.view):
@@ -160,12 +163,18 @@
                 continue
             kind = SubRequestKind.FIRST
             attempts.send(target.progress, target.view, pinned.snapshot, kind, now_ms, actions)
+        self._budget.add_first(attempts.sent - sent)
         return self._advance(now_ms, actions)
 
     def _choose_first(
         self, progress: ShardProgress, usable: list[EndpointView]
     ) -> EndpointView | None:
         context = self._context
+        for view in usable:
+            if not view.warm or view.ejected_until_ms > context.choice.now_ms:
+                break
+        else:
+            return self._choose(usable, context.choice)
         replicas = len(context.view.list_replicas(self._service.name, progress.name))
         return self._choose(restrict_first(usable, replicas, context.choice), context.choice)
 
@@ -206,6 +215,7 @@
             self._attempts.release(progress)
             kind = SubRequestKind.FIRST
             self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
+            self._budget.add_first(1)
 
     def _complete(
         self,
--- a/src/persimmonspur/core/requests/merge.py
+++ b/src/persimmonspur/core/requests/merge.py
@@ -13,7 +13,13 @@
     records = [record for part in parts for record in part]
     if limit is None:
         return sorted(records, key=_order)
-    return heapq.nsmallest(limit, records, key=_order)
+    if limit < len(records):
+        # The full order costs much more than a look at the score, and of many
+        # shards few records are good enough.
+        scores = [float(record.get("score", 0.0)) for record in records]
+        least = heapq.nlargest(limit, scores)[-1]
+        records = [record for record, score in zip(records, scores, strict=True) if score >= least]
+    return sorted(records, key=_order)[:limit]
 
 
 def _order(record: dict[str, Any]) -> tuple[float, str]:
--- a/src/persimmonspur/core/routing/choice.py
+++ b/src/persimmonspur/core/routing/choice.py
@@ -68,11 +68,6 @@
     :param replicas: all replicas of the shard.
     """
     now_ms = context.now_ms
-    for view in usable:
-        if not view.warm or view.ejected_until_ms > now_ms:
-            break
-    else:
-        return usable
     kept = remove_ejected(usable, replicas, now_ms)
     warm = [view for view in kept if view.warm]
     free = [view for view in kept if not view.warm and view.count_free_slots() > 0]
