Decide at claim partitions whether a non-repeatable request may run

Cause: nothing kept a repeated non-repeatable request from running again.

Ruled out: hypothesis alone. Ruled out too: ids in full, since 100,000 of them exceed one object; hashes of 8 bytes fit. The walks found two faults: a hedge that waited while its endpoint turned cold was sent, and a late copy of a rejected request could run at the next owner. Both are fixed.

--- a/src/persimmonspur/core/endpoints/gate.py
+++ b/src/persimmonspur/core/endpoints/gate.py
@@ -212,7 +212,7 @@
         return EndpointStatus(
             self.endpoint.name,
             self.state,
-            self._drain.serving and not self._releasing and now_ms < self._usable_until_ms,
+            self._find_closure(now_ms) is None,
             list(self._report.snapshots) if self._report is not None else [],
             len(self._queue),
             len(self._slots),
@@ -253,6 +253,10 @@
             for entry in self._queue.remove_all():
                 actions.append(self._reject(entry.request, kind, now_ms))
             return actions
+        if self.state != WARM:
+            for entry in self._queue.remove_hedges():
+                kind = ErrorKind.ENDPOINT_UNAVAILABLE
+                actions.append(self._reject(entry.request, kind, now_ms))
         for entry in self._queue.remove_late(now_ms + MARGIN_MS, self.limit, self._service_ms):
             actions.append(self._reject(entry.request, ErrorKind.DEADLINE_EXCEEDED, now_ms))
         while self._queue and len(self._slots) < self.limit:
@@ -287,8 +291,17 @@
             return ErrorKind.ENDPOINT_DRAINING
         if self._releasing or now_ms >= self._usable_until_ms:
             return ErrorKind.NOT_OWNER
+        if self._blocked:
+            return ErrorKind.ENDPOINT_UNAVAILABLE
         return None
 
+    @property
+    def _blocked(self) -> bool:
+        """Whether only an expiry can free a slot, which takes too long to wait for."""
+        if len(self._slots) < self.limit:
+            return False
+        return all(slot.answered for slot in self._slots.values())
+
     def _find_refusal(self, request: SubRequest) -> ErrorKind | None:
         if not self._drain.serving:
             return ErrorKind.ENDPOINT_DRAINING
@@ -388,7 +401,10 @@
     def _estimate_retry(self, now_ms: float) -> float:
         if not self._drain.serving:
             return PROBE_INTERVAL_MS
-        return max(1.0, self._estimate_wait(len(self._queue), now_ms))
+        wait_ms = self._estimate_wait(len(self._queue), now_ms)
+        if self._blocked:
+            wait_ms = min(slot.expires_ms for slot in self._slots.values()) - now_ms
+        return max(1.0, wait_ms)
 
 
 def _says_cold(report: EndpointReport | None) -> bool:
--- a/src/persimmonspur/core/endpoints/queue.py
+++ b/src/persimmonspur/core/endpoints/queue.py
@@ -77,6 +77,12 @@
         entries, self._entries = self._entries, []
         return entries
 
+    def remove_hedges(self) -> list[Entry]:
+        """Remove hedges and retries."""
+        hedges = [entry for entry in self._entries if entry.request.hedge]
+        self._entries = [entry for entry in self._entries if not entry.request.hedge]
+        return hedges
+
     def remove_late(self, now_ms: float, limit: int, service_ms: float) -> list[Entry]:
         """Remove entries that can no longer finish in time.
 
--- a/src/persimmonspur/model/messages.py
+++ b/src/persimmonspur/model/messages.py
@@ -4,6 +4,7 @@
 decoded for every sub-request; ``array_like`` keeps them small on the wire.
 """
 
+import hashlib
 from typing import Any
 
 import msgspec
@@ -164,6 +165,19 @@
     partitions: dict[int, bytes]
 
 
+CLAIM_PARTITIONS = 32
+
+
+def hash_claim(request_id: str) -> int:
+    """Hash the id of a non-repeatable request to 64 bits, the same in every process."""
+    return int.from_bytes(hashlib.blake2b(request_id.encode(), digest_size=8).digest(), "big")
+
+
+def find_partition(request_id: str) -> int:
+    """Return the claim partition of a non-repeatable request."""
+    return hash_claim(request_id) % CLAIM_PARTITIONS
+
+
 class ForwardedQuery(msgspec.Struct, array_like=True, tag=11):
     """A non-repeatable query on its way to the owner of its claim partition."""
 
@@ -180,11 +194,17 @@
 
 
 class ForwardedAnswer(msgspec.Struct, array_like=True, tag=12):
-    """The claim owner's answer, as the JSON document that callers get."""
+    """The claim owner's answer.
+
+    :param status: HTTP status of the answer.
+    :param document: the encoded :class:`persimmonspur.model.query.QueryAnswer`.
+    :param retry: whether the owner did not decide and the query may be forwarded again.
+    """
 
     id: str
     status: int
     document: bytes
+    retry: bool = False
 
 
 Body = (
--- /dev/null
+++ b/tests/core/endpoints/test_gate.py
@@ -0,0 +1,169 @@
+"""Guards single rules of the gate that random orders rarely single out."""
+
+from random import Random
+
+from persimmonspur.core.endpoints.actions import Dispatch, Probe, Reply
+from persimmonspur.core.endpoints.budget import ConnectionBudget
+from persimmonspur.core.endpoints.gate import EndpointGate
+from persimmonspur.core.endpoints.warmup import WarmUp
+from persimmonspur.errors import ErrorKind, Ran
+from persimmonspur.model.configuration import Endpoint, Limits
+from persimmonspur.model.messages import SubRequest
+from persimmonspur.model.outcome import EndpointOutcome, EndpointReport
+from persimmonspur.model.query import SnapshotId
+
+SNAPSHOT = SnapshotId(1, 1)
+
+
+def build_gate(slots=4, queue=8, level=4):
+    endpoint = Endpoint("e", "s", "127.0.0.1:1", "d", ("a",))
+    gate = EndpointGate(endpoint, Limits(slots, 65, 6.0, queue), 10.0)
+    gate.restore(level, "i1")
+    gate.extend(1e9, 0.0)
+    return gate
+
+
+def offer(gate, name, now=0.0, timeout_ms=1_000.0, priority=0):
+    request = SubRequest(
+        name, name, "s", "a", "e", SNAPSHOT, timeout_ms, priority, True, False, -1, None
+    )
+    return gate.offer(request, now)
+
+
+def report(incarnation="i1", state="warm"):
+    return EndpointReport(incarnation, state, 0.1, (SNAPSHOT,))
+
+
+def succeed(gate, name, now, duration_ms=10.0, **told):
+    outcome = EndpointOutcome(None, "", Ran.YES, [], SNAPSHOT, report(**told), duration_ms)
+    return gate.complete(name, outcome, now)
+
+
+def fail(gate, name, now, kind=ErrorKind.ENDPOINT_FAILED, **fields):
+    outcome = EndpointOutcome(kind, "", Ran.UNKNOWN, None, None, None, 10.0, **fields)
+    return gate.complete(name, outcome, now)
+
+
+def test_urgent_work_is_sent_first_and_displaces_the_last_entry():
+    gate = build_gate(slots=1, queue=2, level=1)
+    offer(gate, "running")
+    offer(gate, "batch-late", timeout_ms=900.0, priority=2)
+    offer(gate, "batch-soon", timeout_ms=500.0, priority=2)
+    displaced = offer(gate, "counter", priority=0)
+    assert [action.reply.id for action in displaced] == ["batch-late"]
+    assert displaced[0].reply.ran is Ran.NO
+    sent = [a for a in succeed(gate, "running", 5.0) if isinstance(a, Dispatch)]
+    assert [action.request.id for action in sent] == ["counter"]
+
+
+def test_entry_that_cannot_finish_in_time_is_rejected_with_advice():
+    gate = build_gate(slots=1, level=1)
+    offer(gate, "running")
+    for index in range(4):
+        offer(gate, f"q{index}")
+    (action,) = offer(gate, "late", timeout_ms=30.0, priority=1)
+    assert (action.reply.error, action.reply.ran) == (ErrorKind.OVERLOADED, Ran.NO)
+    assert action.reply.retry_after_ms >= 40.0
+
+
+def test_report_of_a_former_incarnation_does_not_cool():
+    gate = build_gate()
+    offer(gate, "a")
+    succeed(gate, "a", 5.0, incarnation="i2")
+    for index in range(12):
+        offer(gate, f"w{index}", 10.0)
+        succeed(gate, f"w{index}", 20.0, incarnation="i2")
+    gate.observe_report(report("i1"), 30.0)
+    assert gate.state == "warm"
+
+
+def test_failures_eject_and_a_single_probe_decides_about_the_return():
+    gate = build_gate()
+    for index in range(5):
+        gate.tick(2_000.0 * index)
+        offer(gate, f"f{index}", 2_000.0 * index)
+        fail(gate, f"f{index}", 2_000.0 * index + 10.0)
+    assert gate.state == "ejected"
+    assert gate.limit == 1
+    gate.tick(20_000.0)
+    assert gate.state == "cold"
+    offer(gate, "probe", 20_000.0)
+    fail(gate, "probe", 20_010.0)
+    assert gate.state == "ejected"
+
+
+def test_bad_reports_alone_never_eject():
+    gate = build_gate()
+    for index in range(50):
+        gate.tick(index * 1_000.0)
+        gate.observe_report(EndpointReport("i1", "cold", 1.0, ()), index * 1_000.0)
+    assert gate.state == "cold"
+
+
+def test_endpoint_that_says_cold_keeps_one_request_at_a_time():
+    gate = build_gate()
+    for index in range(10):
+        offer(gate, f"w{index}")
+        succeed(gate, f"w{index}", 10.0, state="cold")
+    assert (gate.state, gate.limit) == ("cold", 1)
+
+
+def test_closed_idle_connections_limit_the_endpoint_until_it_reports():
+    gate = build_gate()
+    gate.tick(0.0)
+    gate.observe_idle_closed(10.0)
+    assert gate.limit == 1
+    # The answer to a probe from before the close says nothing about a restart.
+    gate.observe_report(report(), 11.0)
+    assert gate.limit == 1
+    assert any(isinstance(action, Probe) for action in gate.tick(12.0))
+    gate.observe_report(report(), 13.0)
+    assert gate.limit == 4
+
+
+def test_lost_slots_reject_work_until_their_expiry():
+    gate = build_gate(slots=1, level=1)
+    offer(gate, "lost")
+    fail(gate, "lost", 100.0, ErrorKind.DEADLINE_EXCEEDED)
+    assert not gate.get_status(100.0).usable
+    (action,) = offer(gate, "next", 100.0)
+    assert isinstance(action, Reply)
+    assert action.reply.ran is Ran.NO
+    assert action.reply.retry_after_ms > 800.0
+    assert isinstance(offer(gate, "later", 1_100.0)[0], Dispatch)
+
+
+def test_slowness_halves_the_limit_once_per_period():
+    warmup = WarmUp(8)
+    warmup.restore(8)
+    for _ in range(20):
+        warmup.observe_success(warmup.period, 0, 10.0)
+    period = warmup.period
+    warmup.observe_success(period, 0, 31.0)
+    warmup.observe_success(period, 0, 31.0)
+    assert warmup.limit == 4
+    warmup.observe_success(warmup.period, 2, 31.0)
+    assert warmup.limit == 4
+
+
+def test_reconnection_backs_off_with_jitter_between_its_bounds():
+    budget = ConnectionBudget(65, 6.0, Random(1))
+    waits, now = [], 0.0
+    for _ in range(12):
+        budget.observe_loss(now)
+        waits.append(budget.retry_at_ms - now)
+        now = budget.retry_at_ms
+    assert waits[0] >= 50.0
+    assert max(waits) <= 5_000.0
+    assert waits[-1] >= 2_500.0
+    assert not budget.may_take(now - 1.0, cold=False)
+    assert budget.estimate_cost(now - 1.0) == 7.0
+
+
+def test_cold_endpoint_gets_one_new_connection_at_a_time():
+    budget = ConnectionBudget(65, 6.0, Random(1))
+    assert budget.take()
+    assert not budget.may_take(0.0, cold=True)
+    assert budget.may_take(0.0, cold=False)
+    budget.give_back(new=True, lost=False)
+    assert budget.may_take(0.0, cold=True)
--- a/tests/core/endpoints/test_gate_machine.py
+++ b/tests/core/endpoints/test_gate_machine.py
@@ -1,5 +1,8 @@
 """Guards the gate's promises against any order of events, repeated and late ones included."""
 
+from random import Random
+
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -11,6 +14,7 @@
 from persimmonspur.model.messages import SubRequest
 from persimmonspur.model.outcome import EndpointOutcome, EndpointReport
 from persimmonspur.model.query import SnapshotId
+from walks import choose, walk
 
 SNAPSHOT = SnapshotId(1, 1)
 
@@ -109,7 +113,9 @@
         self.take(self.gate.complete(name, outcome, self.now))
 
     def pick(self, data):
-        return data.draw(st.sampled_from(sorted(self.dispatches)))
+        if isinstance(data, Random) and self.unanswered and data.random() < 0.9:
+            return choose(data, sorted(self.unanswered))
+        return choose(data, sorted(self.dispatches))
 
     @rule(
         timeout=st.sampled_from([5.0, 40.0, 1_000.0]),
@@ -127,7 +133,7 @@
     @precondition(lambda self: self.offered)
     @rule(data=st.data())
     def offer_again(self, data):
-        name = data.draw(st.sampled_from(sorted(self.offered)))
+        name = choose(data, sorted(self.offered))
         recent = self.now - self.offered_at[name] < 60_000.0
         if name not in self.answered or (recent and not self.offered[name].repeatable):
             self.take(self.gate.offer(self.offered[name], self.now))
@@ -140,7 +146,10 @@
         self.finish(name, EndpointOutcome(None, "", Ran.YES, [], SNAPSHOT, report, 9.0))
 
     @precondition(lambda self: self.dispatches)
-    @rule(data=st.data(), kind=st.sampled_from(["shed", "drain", "refused", "failed", "stale"]))
+    @rule(
+        data=st.data(),
+        kind=st.sampled_from(["shed", "drain", "bare", "refused", "failed", "stale"]),
+    )
     def answer_error(self, data, kind):
         name = self.pick(data)
         report = self.build_report("draining" if kind == "drain" else "warm")
@@ -149,6 +158,7 @@
         error, ran = {
             "shed": (ErrorKind.OVERLOADED, Ran.NO),
             "drain": (ErrorKind.ENDPOINT_DRAINING, Ran.NO),
+            "bare": (ErrorKind.ENDPOINT_DRAINING, Ran.NO),
             "refused": (ErrorKind.UNREACHABLE, Ran.NO),
             "failed": (ErrorKind.ENDPOINT_FAILED, Ran.YES),
             "stale": (ErrorKind.ENDPOINT_FAILED, Ran.YES),
@@ -156,13 +166,14 @@
         if ran is Ran.NO and name not in self.unanswered:
             return
         reset = kind == "refused"
-        outcome = EndpointOutcome(error, "", ran, None, None, None if reset else report, 9.0, reset)
+        report = None if kind in ("refused", "bare") else report
+        outcome = EndpointOutcome(error, "", ran, None, None, report, 9.0, reset)
         self.finish(name, outcome)
 
     @precondition(lambda self: self.unanswered)
     @rule(data=st.data(), reset=st.booleans())
     def lose_reply(self, data, reset):
-        name = data.draw(st.sampled_from(sorted(self.unanswered)))
+        name = choose(data, sorted(self.unanswered))
         kind = ErrorKind.UNREACHABLE if reset else ErrorKind.DEADLINE_EXCEEDED
         outcome = EndpointOutcome(kind, "", Ran.UNKNOWN, None, None, None, 40.0, reset)
         self.finish(name, outcome)
@@ -170,7 +181,7 @@
     @precondition(lambda self: self.offered)
     @rule(data=st.data())
     def cancel(self, data):
-        name = data.draw(st.sampled_from(sorted(self.offered)))
+        name = choose(data, sorted(self.offered))
         actions = self.gate.cancel(name, self.now)
         if name in self.dispatches:
             assert all(isinstance(action, CancelAtEndpoint) for action in actions)
@@ -232,3 +243,48 @@
 
 GateMachine.TestCase.settings = settings(max_examples=100, stateful_step_count=40)
 TestGateMachine = GateMachine.TestCase
+
+
+@pytest.mark.parametrize("seed", range(150))
+def test_gate_keeps_its_promises_on_random_walks(seed):
+    rng = Random(seed)
+    m = GateMachine()
+    m.begin(rng.randint(1, 4), rng.choice([1, 3, 9]), rng.randint(1, 5))
+    states = ["warm"] * 18 + ["cold", "draining"]
+    errors = ["shed", "drain", "bare", "refused", "failed", "stale"]
+    wanted = [Desired.SERVING, Desired.SERVING, Desired.DRAINING, Desired.OUT]
+
+    def offer(r):
+        timeout = r.choice([5.0, 40.0, 1_000.0, 1_000.0])
+        m.offer(timeout, r.randint(0, 2), r.random() < 0.3, r.random() < 0.7)
+
+    def succeed(r):
+        if m.dispatches:
+            m.succeed(r, r.choice(states))
+
+    def fail(r):
+        if m.dispatches:
+            m.answer_error(r, r.choice(errors))
+
+    def lose(r):
+        if m.unanswered:
+            m.lose_reply(r, r.random() < 0.4)
+
+    def repeat(r):
+        if m.offered:
+            r.choice([m.offer_again, m.cancel])(r)
+
+    steps = [
+        (12, offer),
+        (14, succeed),
+        (1, fail),
+        (1, lose),
+        (1, repeat),
+        (2, lambda r: m.probe(r.choice(states), r.random() < 0.2)),
+        (0.5, lambda r: m.restart_endpoint()),
+        (0.5, lambda r: m.close_idle()),
+        (0.5, lambda r: m.configure(r.choice(wanted))),
+        (3, lambda r: m.extend(r.choice([0.0, 10.0, 500.0, *[5_000.0] * 12]))),
+        (8, lambda r: m.pass_time(r.choice([1.0, 1.0, 5.0, 20.0, 60.0, 1_000.0]))),
+    ]
+    walk(m, steps, rng, 250)
