--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -8,6 +8,7 @@
 from persimmonspur.core.ownership.table import CellTable
 from persimmonspur.core.requests.coordination import CoordinationContext
 from persimmonspur.core.routing.view import RoutingView
+from persimmonspur.daemon.admission import AdmissionDesk
 from persimmonspur.daemon.controllers.registry import Controller, Handler, PeerMessage
 from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.daemon.metrics import Metrics
@@ -69,8 +70,12 @@
         )
         self.cell = Cell(settings.cell, member)
         self.coordination_context = CoordinationContext(
-            self.view, settings.failure_domain, Random(settings.seed)
+            self.view,
+            settings.failure_domain,
+            Random(f"{settings.seed}/{settings.instance}"),
+            origin=f"{settings.instance}.{incarnation:x}",
         )
+        self.admission = AdmissionDesk(settings.concurrency, clock)
         self.phase = Phase.STARTING
         self._handlers: dict[type, Handler] = {}
         self._delays: dict[str, DelayEstimator] = {}
@@ -89,8 +94,9 @@
     @property
     def ready(self) -> bool:
         """Whether the instance can serve queries."""
-        known = self.holder.version > 0 and self.cell.table_version > 0
-        return known and self.phase is Phase.SERVING
+        if self.phase is not Phase.SERVING or not self.configurations.settled:
+            return False
+        return self.holder.version > 0 and self.cell.table_version > 0
 
     @property
     def leaving(self) -> bool:
@@ -129,7 +135,7 @@
         """Send a message to a peer; it may be lost."""
         envelope = Envelope(
             self.settings.instance,
-            self.incarnation,
+            self.cell.member.incarnation,
             self.clock.now_ms(),
             self.cell.table_version,
             self.holder.version,
@@ -155,9 +161,12 @@
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration into effect."""
         self.view.configure(configuration)
+        self.coordination_context.limits.configure(configuration.classes)
+        self.admission.configure(configuration.classes)
         self.endpoint_calls.configure(configuration)
         self._update_owners()
-        self.cells.execute(self.cell.configure(configuration, self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        self.cells.execute(self.cell.configure(configuration, now_ms, self.holder.version))
         self.endpoints.refresh()
 
     def _update_owners(self) -> None:
