Run non-repeatable queries at the owner of their claim partition

Cause: a non-repeatable query ran at whichever instance got it, so a repeat through another instance ran again. The client read its epoch anew for each attempt, so a resolve in between gave the repeat a later epoch, and a later rejection with ran: no hid an earlier lost answer.

Ruled out: fetching a newer table for the epoch that a caller states through the cell's version rule, since any caller could then name a version that does not exist.

Conclusion: the claim owner records before it coordinates; others forward.

--- a/src/persimmonspur/client/client.py
+++ b/src/persimmonspur/client/client.py
@@ -6,7 +6,7 @@
 
 import gevent
 import msgspec
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 from geventhttpclient import HTTPClient
 
 from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
@@ -27,7 +27,9 @@
     :param covered: key space units that the records cover.
     :param total: key space units that the query needs.
     :param error: ``None`` on success.
+    :param ran: over all attempts of the request, not only the last one.
     :param attempts: instances that were tried.
+    :param epoch: epoch that was sent; a later repeat under the same id must bear it too.
     """
 
     request_id: str
@@ -42,6 +44,7 @@
     ran: Ran = Ran.YES
     sub_requests: int = 0
     attempts: int = 1
+    epoch: int = 0
 
 
 class Client:
@@ -86,23 +89,33 @@
         key: int | None = None,
         limit: int | None = None,
         request_id: str = "",
+        epoch: int | None = None,
     ) -> ClientAnswer:
         """Run a query and fail over if that is safe.
 
         A request that did not run, or that may be repeated, is tried at the
         next address. A non-repeatable request is only repeated under the same
-        request id, which the instances recognise.
+        request id and epoch, by which the instances recognise it. A fresh id is
+        safe only after an answer whose ``ran`` is ``no``; without a given id the
+        client then takes one itself if another instance may succeed.
 
         :param timeout_ms: total time in milliseconds.
+        :param request_id: id of an earlier try that is repeated; generated if empty.
+        :param epoch: epoch of that earlier try.
         :returns: the answer; never raises for failures of instances.
         """
+        own_id = not request_id
         request_id = request_id or uuid.uuid4().hex
         deadline_ms = self._clock.now_ms() + timeout_ms
         addresses = self.resolve()
+        # Fixed for all attempts: a resolve in between may bring a later epoch,
+        # under which a new claim owner would take the repeat for a new request.
+        epoch = self._epoch if epoch is None else epoch
         start = self._rng.randrange(len(addresses))
         answer = ClientAnswer(
             request_id, 0, error=ErrorKind.UNREACHABLE, message="no instance answered", ran=Ran.NO
         )
+        ran = Ran.NO
         for attempt in range(len(addresses)):
             remaining_ms = deadline_ms - self._clock.now_ms()
             if remaining_ms <= 0:
@@ -113,7 +126,7 @@
                 "class": priority_class,
                 "timeout_ms": remaining_ms,
                 "request_id": request_id,
-                "epoch": self._epoch,
+                "epoch": epoch,
                 "repeatable": repeatable,
                 "allow_partial": allow_partial,
                 "key": key,
@@ -121,6 +134,11 @@
                 "limit": limit,
             }
             answer = self._post_query(address, document, remaining_ms + GRACE_MS, attempt + 1)
+            ran = _combine(ran, answer)
+            answer = evolve(answer, ran=ran, epoch=epoch)
+            if not repeatable and own_id and ran is Ran.NO and answer.error in _FRESH_ID:
+                request_id, epoch = uuid.uuid4().hex, self._epoch
+                continue
             if not _should_fail_over(answer):
                 return answer
             self._keep_until_ms = 0.0
@@ -162,6 +180,21 @@
         return _parse_answer(request_id, response.status_code, data, attempts)
 
 
+# Failures that the claim owner records: the same id would get the same answer.
+_FRESH_ID = (ErrorKind.NO_SNAPSHOT, ErrorKind.INCOMPLETE, ErrorKind.ENDPOINT_UNAVAILABLE)
+
+
+def _combine(former: Ran, answer: ClientAnswer) -> Ran:
+    """Return what is known over all attempts.
+
+    A later attempt that was rejected says nothing about an earlier one whose
+    answer was lost.
+    """
+    if answer.error is None or answer.ran is Ran.YES:
+        return Ran.YES
+    return former if answer.ran is Ran.NO else Ran.UNKNOWN
+
+
 def _should_fail_over(answer: ClientAnswer) -> bool:
     if answer.error in (ErrorKind.NOT_READY, ErrorKind.LEAVING):
         return True
--- a/src/persimmonspur/core/claims/directory.py
+++ b/src/persimmonspur/core/claims/directory.py
@@ -78,6 +78,10 @@
         """Whether records still have to be handed over or marked."""
         return bool(self._leaving)
 
+    def count_records(self) -> int:
+        """Return the number of records of all owned partitions."""
+        return sum(len(partition) for partition in self._owned.values())
+
     def find(self, number: int) -> ClaimPartition | None:
         """Return an owned partition, or ``None``."""
         return self._owned.get(number)
--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -79,8 +79,10 @@
 
     @property
     def busy(self) -> bool:
-        """Whether sub-requests wait or run, or a budget waits to be released."""
-        return bool(self._releases) or any(gate.busy for gate in self._gates.values())
+        """Whether sub-requests wait or run, or budgets or claims wait to be handed over."""
+        if self._releases or self._instance.claims.busy:
+            return True
+        return any(gate.busy for gate in self._gates.values())
 
     def refresh(self) -> None:
         """Create and retire gates after a new table or configuration."""
@@ -116,6 +118,8 @@
             self._releases[name] = action
             if gate is not None:
                 self._execute(gate, gate.begin_release(now_ms))
+        if action.partitions:
+            self._instance.claims.release(action)
         self._settle()
 
     def take_over(self, budgets: list[ReleasedBudget]) -> None:
@@ -180,7 +184,7 @@
         owner = self._instance.cell.find_claim_owner(request.claim_partition)
         if owner is None or owner.name != sender:
             return False
-        return owner.incarnation == (incarnation or self._instance.incarnation)
+        return owner.incarnation == (incarnation or self._instance.cell.member.incarnation)
 
     def _run(self) -> None:
         ticks = 0
--- a/src/persimmonspur/daemon/filters/chain.py
+++ b/src/persimmonspur/daemon/filters/chain.py
@@ -33,7 +33,6 @@
 FILTERS: Registry[Filter] = Registry("filter")
 
 # Registration order is import order, so the order of the chain is stated here.
-# The filter "claim" goes between "deadline" and "coordinate".
 ORDER = (
     "measure",
     "ready",
@@ -42,6 +41,7 @@
     "priority",
     "admission",
     "deadline",
+    "claim",
     "coordinate",
 )
 
--- a/src/persimmonspur/daemon/run.py
+++ b/src/persimmonspur/daemon/run.py
@@ -20,9 +20,10 @@
 from persimmonspur.adapters.objectapi import HttpObjectApi
 from persimmonspur.clock import Clock
 from persimmonspur.daemon import events
-from persimmonspur.daemon.controllers import cell, configuration, endpoints, queries
+from persimmonspur.daemon.controllers import cell, claims, configuration, endpoints, queries
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Controller
 from persimmonspur.daemon.filters import admission, standard
+from persimmonspur.daemon.filters import claims as claim_filter
 from persimmonspur.daemon.http import KEEP_MS, HttpSurface
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.daemon.lifecycle import Phase
@@ -40,7 +41,7 @@
 POLL_MS = 10.0
 
 # Imported so that their parts register themselves.
-_REGISTERED = (cell, configuration, endpoints, queries, admission, standard)
+_REGISTERED = (cell, claims, configuration, endpoints, queries, admission, claim_filter, standard)
 
 
 class ServeCommand(Command):
