--- a/tests/core/configuration/test_publication.py
+++ b/tests/core/configuration/test_publication.py
@@ -4,7 +4,7 @@
 from expression import Ok
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from persimmonspur.core.configuration.holder import ConfigurationHolder
 from persimmonspur.core.configuration.parts import (
@@ -30,7 +30,7 @@
 from persimmonspur.model.configuration import Limits
 
 BASE = build_configuration(DEPLOYMENTS["ulaanbaatar"])
-BASE = evolve(BASE, services=BASE.services[2:])
+BASE = evolve(BASE, services=BASE.services[3:])
 TARGETS = [
     evolve(
         BASE,
@@ -97,30 +97,59 @@
         self.holders = [ConfigurationHolder() for _ in range(3)]
         self.shown = [0, 0, 0]
 
-    @rule(number=st.integers(0, 3), expected=st.none() | st.integers(0, 3))
+    @initialize(numbers=st.lists(st.integers(0, 3), min_size=4, max_size=4))
+    def store_the_first_version(self, numbers):
+        self.start(numbers[0], None)
+        while self.operators:
+            self.step_once(0, "none")
+        for number in numbers[1:]:
+            self.start(number, None)
+
+    @rule(number=st.integers(0, 3), expected=st.integers(1, 3))
+    def expect(self, number, expected):
+        if len(self.operators) < 4:
+            self.start(number, expected)
+
     def start(self, number, expected):
-        if len(self.operators) >= 3:
-            return
         self.started += 1
         target = TARGETS[number]
         attempt = f"operator-{self.started}"
         publication = Publication(lambda present: Ok(target), attempt, expected)
         self.operators.append(Operator(publication, attempt, target, publication.start()))
 
+    @rule(index=st.integers(0, 2), number=st.integers(0, 3))
+    def run_to_root(self, index, number):
+        """Most faults matter around the update of the root, so get there quickly."""
+        if len(self.operators) < 3:
+            self.start(number, None)
+        for _ in range(30):
+            if index >= len(self.operators):
+                return
+            action = self.operators[index].action
+            if isinstance(action, WriteObject) and action.key == ROOT_KEY:
+                return
+            self.step_once(index, "none")
+
     @rule(
         index=st.integers(0, 2),
-        fault=st.sampled_from(["none", "none", "none", "down", "lost", "delayed", "stale"]),
-        steps=st.integers(1, 12),
+        faults=st.lists(
+            st.sampled_from(["none", "none", "down", "lost", "delayed", "stale"]),
+            min_size=1,
+            max_size=6,
+        ),
     )
-    def step(self, index, fault, steps):
-        for _ in range(steps):
-            if index >= len(self.operators):
-                return
-            operator = self.operators[index]
-            operator.action = self.advance(operator, fault)
-            if isinstance(operator.action, Published | NotPublished):
-                self.operators.remove(operator)
-                self.check_end(operator)
+    def step(self, index, faults):
+        for fault in faults:
+            self.step_once(index, fault)
+
+    def step_once(self, index, fault):
+        if index >= len(self.operators):
+            return
+        operator = self.operators[index]
+        operator.action = self.advance(operator, fault)
+        if isinstance(operator.action, Published | NotPublished):
+            self.operators.remove(operator)
+            self.check_end(operator)
 
     @rule(index=st.integers(0, 2))
     def give_up(self, index):
@@ -179,10 +208,10 @@
 
     def advance(self, operator, fault):
         publication, action = operator.publication, operator.action
+        if isinstance(action, Pause):
+            action = operator.action = publication.resume()
         if isinstance(action, Propose):
             return publication.confirm()
-        if isinstance(action, Pause):
-            return publication.resume()
         if fault == "down":
             return publication.observe_unknown()
         if isinstance(action, ReadObject):
@@ -226,8 +255,8 @@
             action = publication.confirm()
         elif isinstance(action, Pause):
             action = publication.resume()
-        elif fault(action) == "lost":
-            if isinstance(action, WriteObject):
+        elif answer := fault(action):
+            if answer == "lost":
                 store.write(action)
             action = publication.observe_unknown()
         elif isinstance(action, ReadObject):
@@ -243,13 +272,13 @@
     return run(Publication(lambda present: Ok(target), attempt, expected), store, fault)
 
 
-def lose_once(kind, key):
+def lose_once(kind, key, answer="lost"):
     lost = []
 
     def fault(action):
         if isinstance(action, kind) and action.key.startswith(key) and not lost:
             lost.append(action)
-            return "lost"
+            return answer
         return None
 
     return fault
@@ -358,7 +387,7 @@
     services = (evolve(service, shard_maps=(evolve(shard_map, shards=renamed),)),)
     result = publish(store, evolve(TARGETS[0], services=services), "two")
     assert result.failure.kind is ErrorKind.INVALID_CONFIGURATION
-    assert result.errors[0].path == "services.pickup-dispatch.shard_maps"
+    assert result.errors[0].path == "services.stock-ledger.shard_maps"
     assert list(store.accepted) == [1]
 
 
@@ -378,3 +407,22 @@
 
     result = publish(store, TARGETS[1], "two", fault=fault)
     assert result.failure.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_an_update_that_did_not_arrive_is_sent_again():
+    store = Store()
+    fault = lose_once(WriteObject, ROOT_KEY, "down")
+    assert publish(store, TARGETS[0], fault=fault) == Published(1, changed=True)
+
+
+def test_a_confirmed_root_is_no_conflict():
+    # The other operator asked for what was stored, which stores the same root again.
+    store = Store()
+    publish(store, TARGETS[0])
+    confirmed = []
+
+    def fault(action):
+        if isinstance(action, WriteObject) and action.key == ROOT_KEY and not confirmed:
+            confirmed.append(publish(store, TARGETS[0], "two"))
+
+    assert publish(store, TARGETS[1], "three", fault=fault) == Published(2, changed=True)
