--- a/src/persimmonspur/adapters/objectapi.py
+++ b/src/persimmonspur/adapters/objectapi.py
@@ -1,6 +1,5 @@
 """The object API and the instance list over HTTP."""
 
-from http.client import HTTPException
 from urllib.parse import quote
 
 import gevent
@@ -9,7 +8,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPSocketPoolResponse
 
-from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.errors import ErrorKind, Failure, Ran
 from persimmonspur.ports import InstanceListing, ListedState, StoredObject
 
@@ -127,7 +126,7 @@
                 raise
             channel.renew()
             return Error(_describe_call(method, path, f"no answer within {timeout_ms:.0f} ms"))
-        except (OSError, ValueError, RuntimeError, HTTPException) as error:
+        except HTTP_ERRORS as error:
             return Error(_describe_call(method, path, repr(error)))
 
 
--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -8,7 +8,9 @@
 from persimmonspur.core.ownership.table import CellTable
 from persimmonspur.core.requests.coordination import CoordinationContext
 from persimmonspur.core.routing.view import RoutingView
+from persimmonspur.daemon.admission import AdmissionDesk
 from persimmonspur.daemon.controllers.registry import Controller, Handler, PeerMessage
+from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.daemon.metrics import Metrics
 from persimmonspur.daemon.settings import Settings
 from persimmonspur.daemon.timeline import Timeline
@@ -68,9 +70,13 @@
         )
         self.cell = Cell(settings.cell, member)
         self.coordination_context = CoordinationContext(
-            self.view, settings.failure_domain, Random(settings.seed)
+            self.view,
+            settings.failure_domain,
+            Random(f"{settings.seed}/{settings.instance}"),
+            origin=f"{settings.instance}.{incarnation:x}",
         )
-        self.leaving = False
+        self.admission = AdmissionDesk(settings.concurrency, clock)
+        self.phase = Phase.STARTING
         self._handlers: dict[type, Handler] = {}
         self._delays: dict[str, DelayEstimator] = {}
 
@@ -88,10 +94,15 @@
     @property
     def ready(self) -> bool:
         """Whether the instance can serve queries."""
-        if self.leaving or not self.configurations.settled:
+        if self.phase is not Phase.SERVING or not self.configurations.settled:
             return False
         return self.holder.version > 0 and self.cell.table_version > 0
 
+    @property
+    def leaving(self) -> bool:
+        """Whether new queries are rejected because the instance stops."""
+        return self.phase is Phase.STOPPING
+
     def attach(self, controller: Controller) -> None:
         """Register a controller's message handlers."""
         self._handlers.update(controller.list_handlers())
@@ -116,12 +127,15 @@
             self.cell.observe_version(envelope.sender, envelope.table_version, now_ms)
         )
         self.configurations.observe_version(envelope.sender, envelope.configuration_version)
+        self.endpoints.observe_member(
+            envelope.sender, envelope.incarnation, envelope.configuration_version
+        )
 
     def send(self, receiver: str, body: Body) -> bool:
         """Send a message to a peer; it may be lost."""
         envelope = Envelope(
             self.settings.instance,
-            self.incarnation,
+            self.cell.member.incarnation,
             self.clock.now_ms(),
             self.cell.table_version,
             self.holder.version,
@@ -147,9 +161,12 @@
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration into effect."""
         self.view.configure(configuration)
+        self.coordination_context.limits.configure(configuration.classes)
+        self.admission.configure(configuration.classes)
         self.endpoint_calls.configure(configuration)
         self._update_owners()
-        self.cells.execute(self.cell.configure(configuration, self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        self.cells.execute(self.cell.configure(configuration, now_ms, self.holder.version))
         self.endpoints.refresh()
 
     def _update_owners(self) -> None:
