--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -9,7 +9,11 @@
     WakeAt,
 )
 from persimmonspur.core.requests.answers import build_answer, build_rejection
-from persimmonspur.core.requests.attempts import LEAST_RETRY_AFTER_MS, Attempts
+from persimmonspur.core.requests.attempts import (
+    LEAST_RETRY_AFTER_MS,
+    RECHECK_MS,
+    Attempts,
+)
 from persimmonspur.core.requests.context import CoordinationContext
 from persimmonspur.core.requests.progress import Attempt, ShardProgress
 from persimmonspur.core.requests.snapshots import PinnedSnapshot
@@ -28,8 +32,6 @@
 __all__ = ["HOP_MARGIN_MS", "Coordination", "CoordinationContext"]
 
 HOP_MARGIN_MS = 2.0
-# How soon to ask again for a hedge, retry or slot that a budget or bound denied.
-RECHECK_MS = 10.0
 # Replies may wait unread after the process itself stood still for this long.
 STALL_MS = 50.0
 # Part of the remaining time that the expected wait may take. The rest covers
@@ -77,8 +79,7 @@
         self._extras = query.repeatable and context.extras
         self._shards: dict[str, ShardProgress] = {}
         self._open = 0
-        # Whether shards wait for room or for the budget.
-        self._pending = False
+        # Whether retries wait for the budget.
         self._owing = False
         self._wake_ms = float("inf")
 
@@ -102,8 +103,10 @@
             self._complete(progress, reply, now_ms, actions)
         elif not progress.attempts:
             self._replace(progress, reply, now_ms, actions)
-        if self._pending and self._open:
+        if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
+        if not actions and self._open and not self._owing:
+            return actions
         return self._advance(now_ms, actions)
 
     def wake(self, now_ms: float) -> list[CoordinationAction]:
@@ -125,7 +128,7 @@
             self._check(attempt, now_ms, actions)
         if self._owing:
             self._retry_owed(now_ms, actions)
-        if self._pending and self._open:
+        if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
         self._attempts.update_due()
         return self._advance(now_ms, actions)
@@ -152,27 +155,33 @@
                 return self._reject(ErrorKind.OVERLOADED, message, after_ms)
         actions: list[CoordinationAction] = []
         attempts = self._attempts
+        sent = attempts.sent
         attempts.hedge_delay_ms = self._budget.compute_delay(attempts.estimate)
-        room = attempts.count_room()
         for target in targets:
-            if room <= 0:
-                target.progress.waiting = self._pending = True
+            if not attempts.may_send(target.view):
+                attempts.hold(target.progress)
                 continue
-            room -= 1
             kind = SubRequestKind.FIRST
             attempts.send(target.progress, target.view, pinned.snapshot, kind, now_ms, actions)
+        self._budget.add_first(attempts.sent - sent)
         return self._advance(now_ms, actions)
 
     def _choose_first(
         self, progress: ShardProgress, usable: list[EndpointView]
     ) -> EndpointView | None:
         context = self._context
+        for view in usable:
+            if not view.warm or view.ejected_until_ms > context.choice.now_ms:
+                break
+        else:
+            return self._choose(usable, context.choice)
         replicas = len(context.view.list_replicas(self._service.name, progress.name))
         return self._choose(restrict_first(usable, replicas, context.choice), context.choice)
 
     def _measure_excess(self, targets: list[_Target], now_ms: float) -> float:
         """Return by how much the slowest shard's expected wait exceeds what is allowed."""
-        worst_ms = 0.0
+        load = self._attempts.load
+        worst_ms = load.estimate_wait(now_ms) if load is not None else 0.0
         for target in targets:
             view = target.view
             # Only the wait counts: the endpoint's mean service time is that of
@@ -187,8 +196,10 @@
         """Send first sub-requests that the bounds of bulk queries held back."""
         assert self.pinned is not None
         context = self._context
+        load = self._attempts.load
+        if load is None or load.is_behind(self._attempts):
+            return
         context.choice.now_ms = now_ms
-        self._pending = False
         for progress in list(self._shards.values()):
             if not progress.waiting:
                 continue
@@ -196,16 +207,15 @@
             usable = find_usable(replicas, self.pinned.snapshot, ())
             view = self._choose_first(progress, usable)
             if view is None:
-                progress.waiting = False
+                self._attempts.release(progress)
                 self._kill(progress, now_ms, actions)
                 continue
-            busy = view.backlog_ms > 0 and bool(self._attempts.running)
-            if busy or self._attempts.count_room() <= 0:
-                self._pending = True
+            if not self._attempts.may_send(view):
                 continue
-            progress.waiting = False
+            self._attempts.release(progress)
             kind = SubRequestKind.FIRST
             self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
+            self._budget.add_first(1)
 
     def _complete(
         self,
@@ -291,8 +301,10 @@
         otherwise a failure domain that goes out while others warm up costs answers.
         """
         assert self.pinned is not None
+        warm = self._choose_other(progress, now_ms)
+        if warm is not None:
+            return warm
         context = self._context
-        context.choice.now_ms = now_ms
         replicas = context.view.list_replicas(self._service.name, progress.name)
         usable = find_usable(replicas, self.pinned.snapshot, progress.tried)
         remaining_ms = self._conclude_ms - now_ms
@@ -349,11 +361,16 @@
             return
         self.restarted = True
         self._attempts.abandon_all(now_ms, actions)
-        for former in self._shards.values():
-            former.owed = former.waiting = False
+        self._drop_pending()
         self._shards.clear()
         actions.extend(self._begin(newer, now_ms))
 
+    def _drop_pending(self) -> None:
+        for progress in self._shards.values():
+            progress.owed = False
+            if progress.waiting:
+                self._attempts.release(progress)
+
     def _find_newer(self, progress: ShardProgress, now_ms: float) -> PinnedSnapshot | None:
         """Return a newer snapshot if the pinned one is lost and time permits a restart."""
         assert self.pinned is not None
@@ -380,8 +397,8 @@
             actions.extend(self._conclude(now_ms))
             return actions
         wake_ms = min(self._conclude_ms, self._attempts.due_ms)
-        if self._pending or self._owing:
-            wake_ms = min(wake_ms, now_ms + RECHECK_MS)
+        if self._owing or self._attempts.held:
+            wake_ms = min(wake_ms, now_ms + self._attempts.get_recheck_ms())
         if wake_ms < self._wake_ms:
             self._wake_ms = wake_ms
             actions.append(WakeAt(wake_ms))
@@ -393,6 +410,8 @@
         attempts = self._attempts
         actions: list[CoordinationAction] = []
         attempts.abandon_all(now_ms, actions)
+        if attempts.held:
+            self._drop_pending()
         answer = build_answer(
             self.query,
             self.pinned,
