--- a/src/persimmonspur/capacity/page.py
+++ b/src/persimmonspur/capacity/page.py
@@ -98,7 +98,7 @@
             "claim partition owner",
             f"{target.partitions / target.cell_members:.1f} partitions, at most "
             f"{target.partition_records:,} records each",
-            "not derived",
+            f"{_format_micros(estimates.claim_us)} for each request recorded",
             f"{_format_bytes(estimates.claim_memory)} if its partitions are full",
         ],
     ]
@@ -109,25 +109,24 @@
 def render_platform(record: CapacityRecord) -> list[str]:
     """Return the call rate of the object API at the target."""
     target = TARGET
-    claims = float(target.partitions * target.cells)
     watches = float(target.watchers * target.cells)
     writes = {
         "table changes (fail, restart)": target.member_changes_per_s,
         "table renewal": target.cells / target.renewal_s,
         "configuration (one part and the root)": 2 * target.changes_per_s,
+        "claims, if every partition always has changes": target.claim_writes_per_s,
     }
     reads = {
         "watches that wait, each counted as one call": watches,
         "watches renewed": watches / target.watch_s,
         "root and one part at each watcher": 2 * target.changes_per_s * watches,
+        "root, by every member in turn": target.checks_per_s,
+        "instance list": target.listings_per_s,
         "table and root at each restart": 2 * target.restarts_per_day / DAY_S,
     }
     rows = [["write", name, f"{rate:,.2f}"] for name, rate in writes.items()]
     total = sum(writes.values())
     rows.append(["write", f"sum; about {target.api_writes:.0f} allowed", f"{total:,.2f}"])
-    name = "claims, if every partition changes every second"
-    factor = (total + claims) / target.api_writes
-    rows.append(["write", f"{name}; with the sum {factor:.1f} times over", f"{claims:,.2f}"])
     rows += [["read", name, f"{rate:,.2f}"] for name, rate in reads.items()]
     allowed = f"sum; about {target.api_reads:,.0f} allowed"
     rows.append(["read", allowed, f"{sum(reads.values()):,.2f}"])
@@ -252,6 +251,10 @@
     return f"{value:.0f} B"
 
 
+def _format_micros(micros: float | None) -> str:
+    return f"{micros:.1f} µs" if micros is not None else "not measured"
+
+
 def _format_millis(micros: float | None) -> str:
     return f"{micros / 1000:.1f} ms" if micros is not None else "not measured"
 
--- a/src/persimmonspur/capacity/target.py
+++ b/src/persimmonspur/capacity/target.py
@@ -5,6 +5,9 @@
 from attrs import frozen
 
 from persimmonspur.capacity.record import CapacityRecord
+from persimmonspur.core.claims.directory import WRITE_INTERVAL_MS
+from persimmonspur.daemon.controllers.cell import LISTING_MS, SELDOM_LISTING_MS
+from persimmonspur.daemon.controllers.configuration import CHECK_MS_PER_MEMBER
 
 DAY_S = 86_400.0
 
@@ -63,6 +66,23 @@
         """Configuration changes per second."""
         return self.changes_per_day / DAY_S
 
+    @property
+    def claim_writes_per_s(self) -> float:
+        """Writes of claim partitions if every one of them always has changes."""
+        return self.partitions * self.cells / (WRITE_INTERVAL_MS / 1000)
+
+    @property
+    def listings_per_s(self) -> float:
+        """Readings of the instance list: two members of a cell often, the others seldom."""
+        often = 2 * self.cells
+        seldom = self.instances - often
+        return (often / LISTING_MS + seldom / SELDOM_LISTING_MS) * 1000
+
+    @property
+    def checks_per_s(self) -> float:
+        """Readings of the root by all members in turn."""
+        return self.cells / (CHECK_MS_PER_MEMBER / 1000)
+
     @property
     def member_changes_per_s(self) -> float:
         """Table writes per second because members fail, leave or join.
@@ -85,6 +105,7 @@
     :param apply_cell: processor µs to apply the part of one cell.
     :param claim_memory: bytes of full claim partitions at one instance.
     :param idle_cpu: processor µs per second of a whole daemon without queries.
+    :param claim_us: processor µs to record and finish a claim.
     :param resident: resident bytes of a whole daemon without queries.
     :param change_cpu: processor µs to compute a new table.
     """
@@ -105,6 +126,7 @@
     idle_cpu: float | None
     change_cpu: float | None
     resident: float | None
+    claim_us: float | None
 
 
 def extrapolate(record: CapacityRecord, name: str, x: float) -> float | None:
@@ -152,4 +174,5 @@
         extrapolate(record, "idle_cpu", target.endpoints / target.instances),
         extrapolate(record, "table_change", target.cell_endpoints),
         extrapolate(record, "idle_memory", target.endpoints / target.instances),
+        find_slope(record, "claim_cpu"),
     )
--- a/tests/capacity/test_record.py
+++ b/tests/capacity/test_record.py
@@ -8,6 +8,7 @@
 from persimmonspur.capacity.fakes import build_network, build_sized
 from persimmonspur.capacity.page import TABLES, fill_page
 from persimmonspur.capacity.record import CapacityRecord, Point, build_series, fit_line
+from persimmonspur.capacity.target import Target, estimate
 
 DOCS = Path(__file__).parents[2] / "docs"
 
@@ -54,3 +55,16 @@
     network.run_round()
     assert network.heartbeats == 4 * 3
     assert {len(cell.table.members) for cell in network.cells} == {4}
+
+
+def test_the_platform_rates_grow_with_cells_and_not_with_endpoints():
+    small, large = Target(), Target(endpoints=1_000_000)
+    for name in ("claim_writes_per_s", "listings_per_s", "checks_per_s", "member_changes_per_s"):
+        assert getattr(small, name) == getattr(large, name) < small.api_writes
+    assert Target(cell_members=12).claim_writes_per_s > 1.9 * small.claim_writes_per_s
+
+
+def test_a_missing_series_leaves_its_estimate_open():
+    estimates = estimate(CapacityRecord("now", "machine", [], ["claims: no code"]))
+    assert estimates.member_cpu is None
+    assert estimates.claim_memory is None
