--- a/src/persimmonspur/capacity/requests.py
+++ b/src/persimmonspur/capacity/requests.py
@@ -59,6 +59,16 @@
     return [build_series("message_cpu", "sub-requests in a message", "processor µs", points)]
 
 
+def check_finish(actions: list[CoordinationAction]) -> None:
+    """Refuse to measure a query that ended with a failure.
+
+    :raises RuntimeError: if one of the actions finishes the query with a failure.
+    """
+    for action in actions:
+        if isinstance(action, Finish) and action.answer.failure is not None:
+            raise RuntimeError(f"the measured query failed: {action.answer.failure.message}")
+
+
 class _CoordinatorRun:
     """Runs one query of a service with a given number of shards."""
 
@@ -79,7 +89,7 @@
         coordination = Coordination(query, 0, self._context, self._time_ms)
         batches: dict[str, list[SubRequest]] = {}
         started = coordination.start(self._time_ms)
-        _check_finish(started)
+        check_finish(started)
         for action in started:
             if isinstance(action, SendSubRequest):
                 batches.setdefault(action.owner, []).append(action.request)
@@ -91,7 +101,7 @@
             body: Any = self._decoder.decode(reply).body
             for item in body.items:
                 self._context.view.observe_reply(item, owner, self._time_ms + 5.0)
-                _check_finish(coordination.observe_reply(item, self._time_ms + 5.0))
+                check_finish(coordination.observe_reply(item, self._time_ms + 5.0))
         if not coordination.finished:
             raise RuntimeError("the measured query did not finish")
 
@@ -135,12 +145,6 @@
         self._encoder.encode(_wrap("entry-0", SubReplies(replies)))
 
 
-def _check_finish(actions: list[CoordinationAction]) -> None:
-    for action in actions:
-        if isinstance(action, Finish) and action.answer.failure is not None:
-            raise RuntimeError(f"the measured query failed: {action.answer.failure.message}")
-
-
 def _measure_messages(size: int) -> float:
     received: list[Any] = []
     address = f"tcp://{find_free_address()}"
--- a/tests/capacity/test_record.py
+++ b/tests/capacity/test_record.py
@@ -8,7 +8,11 @@
 from persimmonspur.capacity.fakes import build_network, build_sized
 from persimmonspur.capacity.page import TABLES, fill_page
 from persimmonspur.capacity.record import CapacityRecord, Point, build_series, fit_line
+from persimmonspur.capacity.requests import check_finish
 from persimmonspur.capacity.target import Target, estimate
+from persimmonspur.core.requests.actions import Finish
+from persimmonspur.errors import ErrorKind, Failure
+from persimmonspur.model.query import Coverage, QueryAnswer
 
 DOCS = Path(__file__).parents[2] / "docs"
 
@@ -55,6 +59,8 @@
     network.run_round()
     assert network.heartbeats == 4 * 3
     assert {len(cell.table.members) for cell in network.cells} == {4}
+    # Without owners the table has the same size whatever the endpoints.
+    assert {len(cell.table.assignments) for cell in network.cells} == {24}
 
 
 def test_the_platform_rates_grow_with_cells_and_not_with_endpoints():
@@ -68,3 +74,11 @@
     estimates = estimate(CapacityRecord("now", "machine", [], ["claims: no code"]))
     assert estimates.member_cpu is None
     assert estimates.claim_memory is None
+
+
+def test_a_measured_query_that_fails_stops_the_measure():
+    # A rejected query costs a fraction of one that runs.
+    failure = Failure.of(ErrorKind.OVERLOADED, "its queues are too long")
+    answer = QueryAnswer("r", None, Coverage(0), (), [], failure)
+    with pytest.raises(RuntimeError, match="queues"):
+        check_finish([Finish(answer)])
--- a/tests/load/test_workload.py
+++ b/tests/load/test_workload.py
@@ -14,10 +14,15 @@
     def __init__(self, delay_s=0.0):
         self.delay_s = delay_s
         self.asked = []
+        self.running = 0
+        self.most_running = 0
 
     def query(self, service, priority_class, timeout_ms, **options):
         self.asked.append(options)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
         gevent.sleep(self.delay_s)
+        self.running -= 1
         return ClientAnswer("r", 200, "1.1", 65_536, 65_536, (), [], None)
 
 
@@ -39,8 +44,8 @@
 def test_queries_are_sent_while_earlier_ones_wait():
     client = SlowClient(delay_s=0.5)
     result = run_load(client, build_flow())
-    # One query after the other would send a single one.
-    assert result.sent == len(client.asked) > 10
+    # A closed loop would send one query after the other, all of them late.
+    assert result.sent == client.most_running > 10
 
 
 def test_the_same_seed_sends_the_same_queries():
