--- a/tests/daemon/controllers/test_cell.py
+++ b/tests/daemon/controllers/test_cell.py
@@ -40,6 +40,7 @@
 def instance():
     instance, recorder = build_instance(), Recorder()
     instance.transport = instance.endpoints = instance.endpoint_calls = recorder
+    instance.claims = Recorder()
     instance.cells = CellController(instance)
     return instance
 
--- a/tests/process/test_failure_domain.py
+++ b/tests/process/test_failure_domain.py
@@ -7,8 +7,8 @@
 
 from persimmonspur.client.client import Client
 from persimmonspur.load.deployment import DEPLOYMENTS
-from persimmonspur.load.processes import start_deployment
-from persimmonspur.load.publishing import publish, set_domain
+from persimmonspur.load.processes import start_deployment, store_configuration
+from persimmonspur.load.publishing import set_domain
 from persimmonspur.load.workload import Flow, LoadRun
 from persimmonspur.model.configuration import Desired
 
@@ -29,7 +29,7 @@
     load = LoadRun(Client(processes.list_addresses()), flows, seconds=22.0, seed=5)
     running = gevent.spawn(load.run)
     gevent.sleep(2.0)
-    publish(processes.object_api, set_domain(processes.configuration, out, Desired.OUT))
+    store_configuration(processes.object_api, set_domain(processes.configuration, out, Desired.OUT))
     accepted_ms = time.time() * 1000
     gevent.sleep(10.0)
     names = [
@@ -39,7 +39,7 @@
         if endpoint.failure_domain == out
     ]
     while_out = processes.read_counts()
-    publish(processes.object_api, processes.configuration)
+    store_configuration(processes.object_api, processes.configuration)
     result = running.get()["counter"]
     after = processes.read_counts()
     assert max(while_out[name]["last_request_ms"] for name in names) <= accepted_ms + OUT_BOUND_MS
