Count goodput when answers come and keep results of interrupted experiments

The goodput at 1.5 times capacity was 1.35 times that at capacity in a trial: answers that came after the load had ended counted too, and the search took the last rate that was completed. The result file is written after every run, and the report names runs in which the generator's lag shows a busy machine.

--- a/src/persimmonspur/cli/commands/load.py
+++ b/src/persimmonspur/cli/commands/load.py
@@ -11,6 +11,7 @@
 from persimmonspur.load.deployment import DEPLOYMENTS
 from persimmonspur.load.experiment import Experiment, Options
 from persimmonspur.load.processes import TIERS
+from persimmonspur.load.results import ExperimentRecord
 
 HELP = """\
 Runs experiment cases, each with the policy and the naive baseline against
@@ -49,20 +50,21 @@
         except (KeyError, ValueError) as error:
             self.line_error(str(error.args[0]))
             return ANSWERS[ErrorKind.INVALID_REQUEST].exit_code
-        experiment = Experiment(options, self._report)
+        experiment = Experiment(options, self._report, self._save)
         try:
             record = experiment.run(cases, tiers, seeds)
         except KeyboardInterrupt:
-            self.line_error("interrupted; no result was written")
+            self.line_error(f"interrupted; {self.option('output')} holds the finished runs")
             return 130
-        data = msgspec.json.encode(record)
-        Path(self.option("output")).write_bytes(data)
         if self.option("json"):
-            self.line(data.decode())
+            self.line(msgspec.json.encode(record).decode())
         else:
             self.line(f"wrote {self.option('output')}")
         return 1 if record.failures else 0
 
+    def _save(self, record: ExperimentRecord) -> None:
+        Path(self.option("output")).write_bytes(msgspec.json.encode(record))
+
     def _parse(self) -> tuple[Options, list[str], list[str], list[int]]:
         cases = list(CASES) if self.option("case") == "all" else self._split("case")
         for name in cases:
--- a/src/persimmonspur/load/cases.py
+++ b/src/persimmonspur/load/cases.py
@@ -16,6 +16,8 @@
 # Sub-requests of the overload case are slow, so that the endpoints' slots and
 # not this machine's processor limit the goodput.
 OVERLOAD_WORK_MS = 60.0
+# Windows of the measured time, without those in which the rate has just changed.
+OVERLOAD_PARTS = {"at capacity": (1, 5), "at 1.5 times capacity": (6, 10)}
 
 
 @frozen
--- a/src/persimmonspur/load/experiment.py
+++ b/src/persimmonspur/load/experiment.py
@@ -1,6 +1,7 @@
 """Runs experiment cases against the policy and the naive tier."""
 
 import platform
+import shutil
 import subprocess
 import sys
 import time
@@ -12,7 +13,7 @@
 from attrs import define, evolve, field, frozen
 
 from persimmonspur.clock import Clock
-from persimmonspur.load.cases import CASES, OVERLOAD_WORK_MS, Case
+from persimmonspur.load.cases import CASES, OVERLOAD_PARTS, OVERLOAD_WORK_MS, Case
 from persimmonspur.load.deployment import DeploymentShape, count_replicas
 from persimmonspur.load.faults import Step, repartition_configuration
 from persimmonspur.load.generator import Plan
@@ -29,19 +30,22 @@
     RunRecord,
     check_once,
     list_calls,
+    measure_goodput,
     merge_flows,
     summarise_endpoints,
 )
-from persimmonspur.load.workload import Flow
+from persimmonspur.load.workload import WINDOWS, Flow
 
 # Time between the hand-over of the start time and the start of the load.
 LEAD_MS = 100.0
-CAPACITY_SECONDS = 2.0
+CAPACITY_SECONDS = 2.5
 CAPACITY_WARMUP_S = 0.5
 # Rates as parts of what the slots of the busiest shard could do.
-CAPACITY_STEPS = (0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0)
-# Share of the offered load that a tier completes as long as it is not over capacity.
-COMPLETE_SHARE = 0.97
+CAPACITY_STEPS = (0.4, 0.55, 0.7, 0.85, 1.0)
+# The first windows of a step still show the change of the rate.
+CAPACITY_WINDOW = 2
+# Share of the offered load below which a tier is saturated.
+COMPLETE_SHARE = 0.9
 
 
 @frozen
@@ -67,10 +71,12 @@
     """Runs cases and keeps what was measured once for all of them.
 
     :param report: takes one line of progress.
+    :param save: takes the results so far after every run.
     """
 
     options: Options
     report: Callable[[str], None]
+    save: Callable[[ExperimentRecord], None] = lambda record: None
     _capacities: dict[str, float] = field(factory=dict)
 
     def run(self, cases: list[str], tiers: list[str], seeds: list[int]) -> ExperimentRecord:
@@ -88,6 +94,7 @@
             for name in cases:
                 for tier in tiers:
                     self._run_one(record, CASES.get(name), tier, seed)
+                    self.save(record)
         return record
 
     def _run_one(self, record: ExperimentRecord, case: Case, tier: str, seed: int) -> None:
@@ -108,9 +115,12 @@
         try:
             capacity = self._find_capacity(processes) if case.needs_capacity else 0.0
             flows = case.build_flows(options.deployment, capacity)
-            return run_case(processes, case, flows, options, seed, capacity)
+            run = run_case(processes, case, flows, options, seed, capacity)
         finally:
             processes.kill()
+        # The logs of failed runs stay.
+        shutil.rmtree(processes.directory, ignore_errors=True)
+        return run
 
     def _find_capacity(self, processes: Processes) -> float:
         if self.options.capacity:
@@ -145,14 +155,17 @@
     for flow in merged.values():
         labels.update(flow.labels)
         flow.labels = {}
-    seconds = options.seconds / 2 if case.needs_capacity else options.seconds
+    parts = OVERLOAD_PARTS if case.needs_capacity else {"all": (0, WINDOWS)}
     return RunRecord(
         case.name,
         processes.tier,
         seed,
         options.seconds,
         merged,
-        {name: round(flow.complete / seconds, 2) for name, flow in merged.items()},
+        {
+            name: round(measure_goodput(merged, options.seconds, first, stop), 2)
+            for name, (first, stop) in parts.items()
+        },
         summarise_endpoints(counts, slots),
         check_once(labels, counts),
         max(record.cpu_share for record in records),
@@ -210,10 +223,9 @@
 
 
 def measure_capacity(processes: Processes, options: Options) -> float:
-    """Raise the rate in steps until the tier no longer completes what is offered.
+    """Raise the rate in steps until the tier is saturated.
 
-    :returns: the highest rate that was completed, in queries per second; the goodput of the
-        first step if not even that one was.
+    :returns: the highest goodput seen, in queries per second.
     """
     shape = options.deployment.services[0]
     slots = shape.slots * count_replicas(shape)
@@ -226,9 +238,10 @@
         plans = build_plans(processes.list_addresses(), {"load": flow}, short, 900 + index, judge)
         records = send_load(processes, plans, [])
         merged = merge_flows([record.flows["load"] for record in records])
-        if merged.complete < COMPLETE_SHARE * merged.sent:
-            return best or merged.complete / CAPACITY_SECONDS
-        best = merged.complete / CAPACITY_SECONDS
+        goodput = measure_goodput({"load": merged}, CAPACITY_SECONDS, CAPACITY_WINDOW)
+        best = max(best, goodput)
+        if goodput < COMPLETE_SHARE * most * step:
+            break
     return best
 
 
--- a/src/persimmonspur/load/report.py
+++ b/src/persimmonspur/load/report.py
@@ -33,6 +33,9 @@
 from persimmonspur.load.results import ExperimentRecord
 from persimmonspur.load.targets import judge_targets
 
+# Above this lag the machine, and not the tier, may be what was measured.
+DISTURBED_MS = 20.0
+
 ANSWERED: tuple[tuple[str, Measure], ...] = (
     ("complete answers", measure_completeness),
     ("mean coverage", measure_coverage),
@@ -225,6 +228,7 @@
         "",
         *render_table(headers, rows),
         "",
+        *_render_disturbed(record),
         "Cases:",
         "",
         *[f"- {case}: {CASES.get(case).text}" for case in list_cases(record)],
@@ -232,6 +236,22 @@
     ]
 
 
+def _render_disturbed(record: ExperimentRecord) -> list[str]:
+    lines = []
+    measure = measure_lag(99.0)
+    for run in record.runs:
+        lag_ms = measure(run) or 0.0
+        if lag_ms > DISTURBED_MS:
+            lines.append(f"- {run.case}, {run.tier}, seed {run.seed}: lag p99 {lag_ms:.0f} ms")
+    if not lines:
+        return []
+    heading = (
+        f"Disturbed runs (lag p99 above {DISTURBED_MS:g} ms): the machine was too busy to send in "
+        "time, so their latency says little about the tier."
+    )
+    return [heading, "", *lines, ""]
+
+
 def render_table(headers: list[str], rows: list[list[str]]) -> list[str]:
     """Return the lines of a Markdown table."""
     lines = [f"| {' | '.join(headers)} |", f"|{'---|' * len(headers)}"]
--- a/src/persimmonspur/load/results.py
+++ b/src/persimmonspur/load/results.py
@@ -5,7 +5,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from persimmonspur.load.workload import FlowResult
+from persimmonspur.load.workload import WINDOWS, FlowResult
 
 
 class FlowRecord(msgspec.Struct):
@@ -14,6 +14,7 @@
     :param histogram: latency in microseconds, encoded by HdrHistogram.
     :param lag: lag of the load generator in microseconds, encoded in the same way.
     :param labels: answers to each non-repeatable request.
+    :param arrivals: complete answers by window of the measured time.
     """
 
     sent: int
@@ -28,6 +29,7 @@
     histogram: str
     lag: str
     labels: dict[str, list[str]]
+    arrivals: list[int]
 
 
 class GeneratorRecord(msgspec.Struct):
@@ -76,7 +78,7 @@
 class RunRecord(msgspec.Struct):
     """One case under one tier and seed.
 
-    :param goodput: complete answers per second by flow.
+    :param goodput: complete answers per second, of the whole run or by its parts.
     :param platform_calls: calls that the object API received, by kind.
     """
 
@@ -133,6 +135,7 @@
         encode_histogram(result.histogram),
         encode_histogram(result.lag),
         result.labels,
+        result.arrivals,
     )
 
 
@@ -152,9 +155,26 @@
         total.histogram.add(decode_histogram(record.histogram))
         total.lag.add(decode_histogram(record.lag))
         total.labels.update(record.labels)
+        total.arrivals = [a + b for a, b in zip(total.arrivals, record.arrivals, strict=True)]
     return record_flow(total)
 
 
+def measure_goodput(
+    flows: dict[str, FlowRecord], seconds: float, first: int = 0, stop: int = WINDOWS
+) -> float:
+    """Return the complete answers per second that came in a part of the measured time.
+
+    Answers are counted when they come: those that come after the load has ended
+    would make an overloaded tier look better than it is.
+
+    :param seconds: the whole measured time.
+    :param first: first window.
+    :param stop: window after the last one.
+    """
+    answers = sum(sum(flow.arrivals[first:stop]) for flow in flows.values())
+    return answers / (seconds * (stop - first) / WINDOWS)
+
+
 def summarise_endpoints(counts: dict[str, Any], slots: dict[str, int]) -> EndpointRecord:
     """Add up what the stand-in searchers saw.
 
--- a/src/persimmonspur/load/workload.py
+++ b/src/persimmonspur/load/workload.py
@@ -20,6 +20,8 @@
 HISTOGRAM_MAX_US = 60_000_000
 # A repeat that is sent while the first attempt still runs follows after this time.
 OVERLAP_MS = 3.0
+# Parts of the measured time for which complete answers are counted.
+WINDOWS = 10
 
 Shape = Callable[[float], float]
 SHAPES: Registry[Shape] = Registry("load shape")
@@ -87,6 +89,8 @@
     :param covered: sum of the coverage of all answers, each 0 to 1.
     :param lag: time from the intended send to the real one, in microseconds.
     :param labels: what callers were told of each non-repeatable request: ``ok`` or ``ran``.
+    :param arrivals: complete answers by the window of the measured time in which they came,
+        those to queries of the warm-up included.
     """
 
     histogram: HdrHistogram = field(factory=lambda: HdrHistogram(1, HISTOGRAM_MAX_US, 3))
@@ -101,6 +105,7 @@
     least_covered: float = 1.0
     lag: HdrHistogram = field(factory=lambda: HdrHistogram(1, HISTOGRAM_MAX_US, 3))
     labels: dict[str, list[str]] = field(factory=dict)
+    arrivals: list[int] = field(factory=lambda: [0] * WINDOWS)
 
     def get_percentile(self, percentile: float) -> float:
         """Return a latency in milliseconds."""
@@ -154,6 +159,15 @@
         pool.join()
         return self.results
 
+    def count_arrival(self, result: FlowResult, answer: ClientAnswer) -> None:
+        """Count a complete answer that comes now, if now is within the measured time."""
+        if answer.error is not None or answer.covered < answer.total:
+            return
+        measured_ms = self.clock.now_ms() - self.start_ms - self.warmup_s * 1000
+        window = math.floor(measured_ms / (self.seconds * 1000) * WINDOWS)
+        if 0 <= window < WINDOWS:
+            result.arrivals[window] += 1
+
     def _send(self, pool: Pool, name: str, flow: Flow, rng: Random) -> None:
         shape = SHAPES.get(flow.shape)
         measured_ms = self.start_ms + self.warmup_s * 1000
@@ -173,20 +187,22 @@
             if wait_ms > 0:
                 gevent.sleep(wait_ms / 1000)
             result = self.results[name] if position >= 0 else self._discarded
-            pool.spawn(self._query, flow, result, intended_ms, key, request_id)
+            pool.spawn(self._query, name, result, intended_ms, key, request_id)
             if repeat >= flow.repeats:
                 continue
             delay_ms = OVERLAP_MS if repeat < flow.repeats / 2 else flow.timeout_ms
             pool.spawn(self._repeat, flow, result, delay_ms, key, request_id)
 
     def _query(
-        self, flow: Flow, result: FlowResult, intended_ms: float, key: int | None, request_id: str
+        self, name: str, result: FlowResult, intended_ms: float, key: int | None, request_id: str
     ) -> None:
+        flow = self.flows[name]
         result.sent += 1
         _record(result.lag, self.clock.now_ms() - intended_ms)
         answer = self._ask(flow, key, request_id)
         _record(result.histogram, self.clock.now_ms() - intended_ms)
         self._judge(flow, result, answer, key)
+        self.count_arrival(self.results[name], answer)
         if not flow.repeatable:
             result.labels.setdefault(request_id, []).append(_label(answer))
 
--- a/tests/load/test_results.py
+++ b/tests/load/test_results.py
@@ -4,6 +4,7 @@
     check_once,
     decode_histogram,
     list_calls,
+    measure_goodput,
     merge_flows,
     record_flow,
     summarise_endpoints,
@@ -74,3 +75,14 @@
 def test_counts_by_key_do_not_reach_the_result_file():
     # They made the whole file unreadable for the report.
     assert list_calls({"reads": 3, "by_key": {"config/root": 3}}) == {"reads": 3}
+
+
+def test_goodput_counts_answers_when_they_come():
+    result = FlowResult(complete=50)
+    result.arrivals = [0, 10, 10, 10, 10, 0, 4, 4, 4, 4]
+    flows = {"load": record_flow(result)}
+    # The 50 complete answers include those that came after the load had ended.
+    assert measure_goodput(flows, 10.0, 1, 5) == 10.0
+    assert measure_goodput(flows, 10.0, 6, 10) == 4.0
+    doubled = merge_flows([flows["load"], flows["load"]])
+    assert measure_goodput({"load": doubled}, 10.0, 1, 5) == 20.0
--- a/tests/load/test_workload.py
+++ b/tests/load/test_workload.py
@@ -4,8 +4,8 @@
 import pytest
 
 from persimmonspur.client.client import ClientAnswer
-from persimmonspur.clock import Clock
-from persimmonspur.load.workload import SHAPES, Flow, LoadRun
+from persimmonspur.clock import Clock, ManualClock
+from persimmonspur.load.workload import SHAPES, Flow, FlowResult, LoadRun
 
 
 class SlowClient:
@@ -85,3 +85,14 @@
     assert min(values) >= 0
     assert max(values) <= 1
     assert max(values) > 0.9
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "window"), [(999.0, None), (1_000.0, 0), (10_999.0, 9), (11_000.0, None)]
+)
+def test_only_answers_within_the_measured_time_count_as_arrived(now_ms, window):
+    load = LoadRun(None, {}, 10.0, 1, clock=ManualClock(now_ms), warmup_s=1.0)
+    result = FlowResult()
+    load.count_arrival(result, ClientAnswer("r", 200, "1.1", 10, 10))
+    load.count_arrival(result, ClientAnswer("r", 200, "1.1", 9, 10))
+    assert result.arrivals == [int(index == window) for index in range(10)]
