--- a/src/persimmonspur/capacity/configurations.py
+++ b/src/persimmonspur/capacity/configurations.py
@@ -24,17 +24,25 @@
 @MEASURES.register("configuration")
 def measure_configuration() -> list[Series]:
     """Measure size and apply time against endpoints and against services."""
-    size, apply, by_service = [], [], []
+    size, apply, by_service, service_size = [], [], [], []
     for endpoints in ENDPOINTS:
         split = split_configuration(build_sized(endpoints))
         size.append(Point(endpoints, sum(len(value) for value in split.values.values())))
         apply.append(Point(endpoints, time_call(partial(_apply, split))))
     for services in SERVICES:
         sized = build_sized(SERVICE_ENDPOINTS, services)
-        by_service.append(Point(services, time_call(partial(_apply, split_configuration(sized)))))
+        split = split_configuration(sized)
+        by_service.append(Point(services, time_call(partial(_apply, split))))
+        service_size.append(Point(services, sum(len(value) for value in split.values.values())))
     return [
         build_series("configuration_bytes", "endpoints", "bytes of the configuration", size),
         build_series("configuration_apply", "endpoints", "processor µs to decode and apply", apply),
+        build_series(
+            "configuration_services_bytes",
+            f"services with {SERVICE_ENDPOINTS} endpoints together",
+            "bytes of the configuration",
+            service_size,
+        ),
         build_series(
             "configuration_services",
             f"services with {SERVICE_ENDPOINTS} endpoints together",
