Pace confirmations apart from the cell and forget calls without a result

Cause: a call whose result never came would have blocked all later calls of the object API. The encoded table is kept as well, since a change makes every other member ask for it.

--- a/src/persimmonspur/core/ownership/cell.py
+++ b/src/persimmonspur/core/ownership/cell.py
@@ -14,7 +14,7 @@
 )
 from persimmonspur.core.ownership.grants import Grants, Key, find_assignment
 from persimmonspur.core.ownership.proposal import CLAIM_PARTITIONS, Catalogue, build_proposal
-from persimmonspur.core.ownership.store import StoreAccess
+from persimmonspur.core.ownership.store import StoreAccess, StoreConfirmation
 from persimmonspur.core.ownership.table import CellTable
 from persimmonspur.core.ownership.validity import HEARTBEAT_MS, VALIDITY_MS
 from persimmonspur.model.configuration import Configuration
@@ -23,16 +23,6 @@
 
 __all__ = ["CLAIM_PARTITIONS", "HEARTBEAT_MS", "VALIDITY_MS", "Cell"]
 
-# A healthy round is confirmed soon after the next one is sent.
-UNCONFIRMED_MS = 2_500.0
-CONFIRM_INTERVAL_MS = 1_500.0
-
-# Members whose confirmations collide try again at different times, at most
-# this often before they wait for the whole interval.
-CONFIRM_RETRIES = 3
-CONFIRM_RETRY_MS = 150.0
-CONFIRM_SPREAD_MS = 15.0
-
 # Longer than a write and the spread of its version take.
 WRITER_STEP_MS = 1_500.0
 FETCH_INTERVAL_MS = 500.0
@@ -63,6 +53,7 @@
         self._roster = Roster(member)
         self._grants = Grants()
         self._store = StoreAccess()
+        self._store_confirmation = StoreConfirmation()
         self._seen: dict[str, tuple[int, int]] = {}
         self._memo: tuple[object, CellTable | None] | None = None
         self._written: CellTable | None = None
@@ -72,9 +63,6 @@
         self._next_fetch_ms = 0.0
         self._fetches = 0
         self._next_join_read_ms = 0.0
-        self._next_confirm_ms = 0.0
-        self._confirming = False
-        self._collisions = 0
         self._ended = False
 
     @property
@@ -172,18 +160,20 @@
         :param started_ms: when the read started.
         """
         self._store.finish()
+        confirming = self._store_confirmation.finish_reading()
         actions = self._adopt(table, now_ms) if table is not None else []
         if (table.version if table is not None else 0) < self.table_version:
             # The read was stale, or the cell moved on while it ran.
-            self._confirming = False
             return actions
         self._store.remember(self.table_version, stored_version)
-        return [*actions, *self._continue_confirmation(now_ms), *self._write(now_ms)]
+        if confirming:
+            actions.extend(self._continue_confirmation(now_ms))
+        return [*actions, *self._write(now_ms)]
 
     def observe_read_failure(self, now_ms: float) -> list[CellAction]:
         """Take a failed read."""
         self._store.fail(now_ms)
-        self._confirming = False
+        self._store_confirmation.finish_reading()
         return []
 
     def observe_write(
@@ -214,13 +204,11 @@
         self._store.finish()
         self._store.remember(version, stored_version)
         if stored_version is not None:
-            self._collisions = 0
+            self._store_confirmation.succeed()
             self._grants.confirmation.confirm_stored(started_ms)
-            return []
-        self._collisions += 1
-        if self._collisions <= CONFIRM_RETRIES and self.table is not None:
-            position = sorted(self.table.members).index(self.member.name) if self.is_member else 0
-            self._next_confirm_ms = now_ms + CONFIRM_RETRY_MS + CONFIRM_SPREAD_MS * position
+        elif self.table is not None and self.is_member:
+            position = sorted(self.table.members).index(self.member.name)
+            self._store_confirmation.collide(position, now_ms)
         return []
 
     def observe_release(
@@ -349,20 +337,18 @@
         return [ReadTable()] if self._store.begin(now_ms) else []
 
     def _confirm_by_store(self, now_ms: float) -> list[CellAction]:
-        if self.table is None or not self.is_member or now_ms < self._next_confirm_ms:
+        if not self.is_member or self.known_version > self.table_version:
             return []
-        if now_ms - self._grants.confirmation.confirmed_ms < UNCONFIRMED_MS:
+        confirmed_ms = self._grants.confirmation.confirmed_ms
+        if not self._store_confirmation.is_due(confirmed_ms, now_ms):
             return []
-        if self.known_version > self.table.version or not self._store.begin(now_ms):
+        if not self._store.begin(now_ms):
             return []
-        self._next_confirm_ms = now_ms + CONFIRM_INTERVAL_MS
-        # Read first: other members without peers change the stored version too.
-        self._confirming = True
+        self._store_confirmation.begin(now_ms)
         return [ReadTable()]
 
     def _continue_confirmation(self, now_ms: float) -> list[CellAction]:
-        confirming, self._confirming = self._confirming, False
-        if not confirming or self.table is None or not self.is_member:
+        if self.table is None or not self.is_member:
             return []
         stored_version = self._store.find_stored_version(self.table.version)
         if stored_version is None or not self._store.begin(now_ms):
@@ -371,7 +357,7 @@
 
     def _propose(self, now_ms: float) -> list[CellAction]:
         """Start to change the table if that is needed and this member's turn."""
-        if self._store.busy or self._find_due_proposal(now_ms) is None:
+        if self._store.is_busy(now_ms) or self._find_due_proposal(now_ms) is None:
             return []
         return self._read(now_ms)
 
--- a/src/persimmonspur/daemon/controllers/cell.py
+++ b/src/persimmonspur/daemon/controllers/cell.py
@@ -38,6 +38,7 @@
         self._key = f"cells/{instance.settings.cell}/table"
         self._table: CellTable | None = None
         self._connected: set[str] = set()
+        self._encoded = TableState(0, b"")
         self._incarnation = instance.incarnation
         self._listed_ms = 0.0
         self._listing = False
@@ -236,7 +237,10 @@
         table = self._cell.table
         if table is None or table.version <= message.body.known_version:
             return
-        self._instance.send(message.sender, TableState(table.version, encode_table(table)))
+        # A change makes every other member ask, so the encoded form is kept.
+        if self._encoded.version != table.version:
+            self._encoded = TableState(table.version, encode_table(table))
+        self._instance.send(message.sender, self._encoded)
 
     def _handle_table(self, message: PeerMessage) -> None:
         table = self._decode(message.body.value)
--- a/tests/core/ownership/test_cell.py
+++ b/tests/core/ownership/test_cell.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cellsim import Simulation, build_configuration
+from persimmonspur.core.ownership.store import LOST_MS, StoreAccess
 from persimmonspur.core.ownership.table import decode_table
 from persimmonspur.core.ownership.validity import GRANT_WAIT_MS, VALIDITY_MS
 from persimmonspur.model.member import MemberState
@@ -228,6 +229,13 @@
     assert [type(action).__name__ for action in todo] == ["ReadTable"]
 
 
+def test_call_without_a_result_does_not_block_later_ones():
+    store = StoreAccess()
+    assert store.begin(0.0)
+    assert not store.begin(LOST_MS - 1.0)
+    assert store.begin(LOST_MS)
+
+
 def test_member_with_an_older_configuration_does_not_undo_a_newer_one():
     sim = form()
     sim.configuration = 2, build_configuration(6)
