--- a/tests/core/ownership/test_cell.py
+++ b/tests/core/ownership/test_cell.py
@@ -306,6 +306,13 @@
     assert sim.all_usable()
 
 
+def test_owner_that_ended_uses_nothing():
+    sim = form()
+    process = sim.processes[find_owner(sim)]
+    process.handle(process.cell.end)
+    assert not any(sim.ask(process, key) for key in sim.list_keys())
+
+
 def test_instance_whose_clock_was_set_back_returns():
     sim = form()
     sim.incarnations = iter([7])
