Ignore replies of instances that the sub-request was not sent to

Cause: a reply was matched by its id and endpoint only, so any instance that knew the id could answer a sub-request sent to another. The new test of the query controller failed before.

--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -91,11 +91,18 @@
             return self._reject(ErrorKind.NO_SNAPSHOT, "no endpoint holds a snapshot", None)
         return self._begin(pinned, now_ms)
 
-    def observe_reply(self, reply: SubReply, now_ms: float) -> list[CoordinationAction]:
-        """Take a reply; late, repeated and foreign replies are ignored."""
+    def observe_reply(
+        self, reply: SubReply, now_ms: float, sender: str | None = None
+    ) -> list[CoordinationAction]:
+        """Take a reply; late, repeated and foreign replies are ignored.
+
+        :param sender: who sent it; ``None`` if it is known to be the attempt's owner.
+        """
         attempt = self._attempts.running.get(reply.id)
         if attempt is None or reply.endpoint != attempt.request.endpoint or self.pinned is None:
             return []
+        if sender is not None and sender != attempt.owner.name:
+            return []
         self._attempts.settle(attempt, reply, now_ms)
         progress = attempt.progress
         actions: list[CoordinationAction] = []
--- /dev/null
+++ b/tests/daemon/test_queries.py
@@ -0,0 +1,157 @@
+"""Guards the way of queries through admission and the query controller."""
+
+import gevent
+import pytest
+from gevent.event import Event
+
+from fakes import build_instance
+from persimmonspur.daemon.controllers.queries import QueryController
+from persimmonspur.daemon.controllers.registry import PeerMessage
+from persimmonspur.daemon.filters.admission import admit
+from persimmonspur.daemon.filters.chain import ORDER, RequestContext, build_failure
+from persimmonspur.daemon.filters.standard import measure
+from persimmonspur.errors import ErrorKind, Failure, Ran
+from persimmonspur.model.messages import EndpointStatus, EndpointStatuses, SubReplies
+from persimmonspur.model.query import Coverage, Query, QueryAnswer, SnapshotId
+from simulation import CLASSES, SNAPSHOT, build_configuration, build_reply, build_service
+
+
+class FakeEndpoints:
+    """Collects what this instance's own endpoints are offered."""
+
+    def __init__(self):
+        self.offered = []
+        self.cancelled = []
+
+    def offer(self, sender, requests, age_ms):
+        self.offered.extend(requests)
+
+    def cancel(self, request_ids):
+        self.cancelled.extend(request_ids)
+
+
+@pytest.fixture
+def instance():
+    instance = build_instance(concurrency="1")
+    instance.view.configure(build_configuration(build_service(shards=1)))
+    instance.admission.configure(CLASSES)
+    instance.endpoints = FakeEndpoints()
+    instance.queries = QueryController(instance)
+    for view in instance.view.endpoints.values():
+        view.owner = "entry-1"
+        name = view.endpoint.name
+        status = EndpointStatus(name, "warm", True, [SNAPSHOT], 0, 0, 2, 4.0)
+        instance.view.observe_status(status)
+    return instance
+
+
+def build_query(**options):
+    return Query("desk", "counter", 10_000.0, "r1", **options)
+
+
+def run_all():
+    for _ in range(5):
+        gevent.sleep(0)
+
+
+def read(instance, name, **labels):
+    return instance.metrics.registry.get_sample_value(name, labels)
+
+
+def test_the_chain_admits_before_it_takes_time_off_the_deadline():
+    assert ORDER.index("priority") < ORDER.index("admission") < ORDER.index("deadline")
+    assert ORDER[-1] == "coordinate"
+
+
+def test_a_query_waits_for_its_turn_and_gives_the_slot_back(instance):
+    release = Event()
+    started = []
+
+    def call_next(context):
+        started.append(context.query.request_id)
+        release.wait()
+        return QueryAnswer("r", SNAPSHOT, Coverage(1, 1), ())
+
+    runs = [
+        gevent.spawn(admit, RequestContext(instance, build_query(), 0.0), call_next)
+        for _ in range(2)
+    ]
+    run_all()
+    assert len(started) == 1
+    release.set()
+    gevent.joinall(runs, timeout=10, raise_error=True)
+    assert len(started) == 2
+    assert (instance.admission.admission.running, instance.admission.admission.waiting) == (0, 0)
+
+
+def test_a_query_without_room_before_its_deadline_is_rejected_before_it_runs(instance):
+    release = Event()
+    first = gevent.spawn(
+        admit, RequestContext(instance, build_query(), 0.0), lambda context: release.wait()
+    )
+    run_all()
+    query = Query("desk", "counter", 20.0, "r2")
+    second = gevent.spawn(admit, RequestContext(instance, query, 0.0), None)
+    run_all()
+    instance.clock.advance(25.0)
+    answer = second.get(timeout=10)
+    assert (answer.failure.kind, answer.failure.ran) == (ErrorKind.OVERLOADED, Ran.NO)
+    release.set()
+    first.join(timeout=10)
+
+
+def test_two_runs_of_one_request_get_their_own_replies(instance):
+    runs = [gevent.spawn(instance.queries.run, build_query(), 0) for _ in range(2)]
+    run_all()
+    first, second = instance.endpoints.offered
+    instance.queries.deliver("entry-1", build_reply(second, [{"id": "second", "score": 1}]))
+    instance.queries.deliver("entry-1", build_reply(first, [{"id": "first", "score": 1}]))
+    answers = [run.get(timeout=10) for run in runs]
+    assert [answer.records[0]["id"] for answer in answers] == ["first", "second"]
+    # A repeated reply after the end of its query changes nothing.
+    instance.queries.deliver("entry-1", build_reply(first, [{"id": "late", "score": 1}]))
+    assert read(instance, "persimmonspur_sub_requests_total", service="desk", kind="first") == 2
+    assert read(instance, "persimmonspur_pinned_version", service="desk") == 1
+
+
+def test_a_foreign_reply_does_not_take_the_place_of_the_right_one(instance):
+    run = gevent.spawn(instance.queries.run, build_query(), 0)
+    run_all()
+    [request] = instance.endpoints.offered
+    foreign = build_reply(request, [{"id": "foreign", "score": 1}])
+    foreign.endpoint = "elsewhere"
+    instance.queries.deliver("entry-1", foreign)
+    instance.queries.deliver("entry-1", build_reply(request, [{"id": "right", "score": 1}]))
+    assert run.get(timeout=10).records[0]["id"] == "right"
+
+
+def test_messages_of_instances_that_do_not_own_the_endpoint_are_ignored(instance):
+    handlers = instance.queries.list_handlers()
+    status = EndpointStatus("s0-r0", "warm", False, [], 0, 0, 2, 4.0)
+    handlers[EndpointStatuses](PeerMessage("entry-2", 1, 1, EndpointStatuses([status]), 0.0))
+    assert instance.view.endpoints["s0-r0"].ready
+    run = gevent.spawn(instance.queries.run, build_query(), 0)
+    run_all()
+    reply = build_reply(instance.endpoints.offered[0], [], queue=50)
+    handlers[SubReplies](PeerMessage("entry-2", 1, 1, SubReplies([reply]), 0.0))
+    run_all()
+    assert not run.ready()
+    assert instance.view.endpoints[reply.endpoint].status.queue == 0
+    instance.queries.deliver("entry-1", reply)
+    assert run.get(timeout=10).coverage.complete
+
+
+def test_a_service_that_was_dropped_while_the_query_waited_is_unknown(instance):
+    answer = instance.queries.run(Query("gone", "counter", 100.0, "r1"), 0)
+    assert (answer.failure.kind, answer.failure.ran) == (ErrorKind.UNKNOWN_SERVICE, Ran.NO)
+
+
+def test_rejections_and_coverage_are_counted(instance):
+    query = build_query()
+    rejected = build_failure(query, Failure.of(ErrorKind.OVERLOADED, "full"))
+    measure(RequestContext(instance, query, 0.0), lambda context: rejected)
+    half = QueryAnswer("r1", SnapshotId(1, 1), Coverage(1, 2), ("s1",))
+    measure(RequestContext(instance, query, 0.0), lambda context: half)
+    name = "persimmonspur_rejections_total"
+    assert read(instance, name, service="desk", kind="overloaded") == 1
+    assert read(instance, "persimmonspur_coverage_sum", service="desk") == 0.5
