--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from persimmonspur.clock import Clock
     from persimmonspur.daemon.controllers.cell import CellController
+    from persimmonspur.daemon.controllers.claims import ClaimController
     from persimmonspur.daemon.controllers.configuration import ConfigurationController
     from persimmonspur.daemon.controllers.endpoints import EndpointController
     from persimmonspur.daemon.controllers.queries import QueryController
@@ -32,6 +33,7 @@
     """Holds the parts of one instance and routes messages between them."""
 
     cells: "CellController"
+    claims: "ClaimController"
     configurations: "ConfigurationController"
     endpoints: "EndpointController"
     queries: "QueryController"
@@ -53,7 +55,6 @@
         """
         self.settings = settings
         self.clock = clock
-        self.incarnation = incarnation
         self.object_api = object_api
         self.instance_list = instance_list
         self.endpoint_calls = endpoint_calls
@@ -80,6 +81,11 @@
         self._handlers: dict[type, Handler] = {}
         self._delays: dict[str, DelayEstimator] = {}
 
+    @property
+    def incarnation(self) -> int:
+        """Present incarnation, which grows when the cell removes this instance."""
+        return self.cell.member.incarnation
+
     def set_controllers(self, controllers: dict[str, Controller]) -> None:
         """Make the controllers reachable for each other.
 
@@ -87,6 +93,7 @@
         """
         self.controllers = controllers
         self.cells = cast("CellController", controllers["cell"])
+        self.claims = cast("ClaimController", controllers["claims"])
         self.configurations = cast("ConfigurationController", controllers["configuration"])
         self.endpoints = cast("EndpointController", controllers["endpoints"])
         self.queries = cast("QueryController", controllers["queries"])
@@ -135,7 +142,7 @@
         """Send a message to a peer; it may be lost."""
         envelope = Envelope(
             self.settings.instance,
-            self.cell.member.incarnation,
+            self.incarnation,
             self.clock.now_ms(),
             self.cell.table_version,
             self.holder.version,
@@ -157,6 +164,7 @@
             if name != self.settings.instance:
                 self.transport.connect(name, member.peer_address)
         self._update_owners()
+        self.claims.refresh(table)
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration into effect."""
