Free the slots of an ended process early and measure status traffic

Cause: a slot whose connection broke stayed taken until its expiry, up to the whole timeout of the request, even if a new process answered meanwhile.

Ruled out: freeing slots on any new incarnation, since a request on a new connection may have reached the new process. A slot is freed only if the incarnation that broke the connection had answered on it before and a later call was answered by another one.

--- a/src/persimmonspur/adapters/connections.py
+++ b/src/persimmonspur/adapters/connections.py
@@ -3,6 +3,7 @@
 import select
 from collections.abc import Callable
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import gevent
 import gevent.socket
@@ -45,6 +46,7 @@
         self._idle: list[_Idle] = []
         self._changed = Event()
         self._closed = False
+        self._incarnations: WeakKeyDictionary[gevent.socket.socket, str] = WeakKeyDictionary()
 
     def acquire(self) -> gevent.socket.socket:
         """Return a connection; waits while all are in use.
@@ -76,6 +78,14 @@
             raise
         return HTTPSocketPoolResponse(sock, self, method=method)
 
+    def note_incarnation(self, sock: gevent.socket.socket, incarnation: str) -> None:
+        """Remember which incarnation of the endpoint is at the other end."""
+        self._incarnations[sock] = incarnation
+
+    def find_incarnation(self, sock: gevent.socket.socket) -> str:
+        """Return the incarnation that answered on a connection; empty if none did."""
+        return self._incarnations.get(sock, "")
+
     def return_socket(self, sock: gevent.socket.socket) -> None:
         """Keep a connection for the next request."""
         if self._closed or self.in_use + len(self._idle) > self.size:
--- a/src/persimmonspur/adapters/endpoints.py
+++ b/src/persimmonspur/adapters/endpoints.py
@@ -139,7 +139,7 @@
         ran = Ran.UNKNOWN if call.sent else Ran.NO
         reset = kind is ErrorKind.UNREACHABLE
         return EndpointOutcome(
-            kind, message, ran, None, None, None, duration_ms, reset, closed=True
+            kind, message, ran, None, None, None, duration_ms, reset, True, call.incarnation
         )
 
     def _parse(
@@ -169,6 +169,7 @@
     """One HTTP exchange.
 
     :param sent: whether the endpoint may have received the request.
+    :param incarnation: incarnation that answered earlier on the connection.
     """
 
     def __init__(
@@ -180,6 +181,7 @@
         body: bytes,
     ) -> None:
         self.sent = False
+        self.incarnation = ""
         self._connections = connections
         self._method = method
         lines = [f"{method} {path} HTTP/1.1", f"host: {connections.address}"]
@@ -191,8 +193,11 @@
     def run(self) -> tuple[HTTPSocketResponse, bytes]:
         sock = self._connections.acquire()
         self.sent = True
+        self.incarnation = self._connections.find_incarnation(sock)
         response = self._connections.exchange(sock, self._data, self._method)
-        return response, bytes(response.read())
+        data = bytes(response.read())
+        self._connections.note_incarnation(sock, str(response.get("x-incarnation", "")))
+        return response, data
 
 
 def _ignore(name: str) -> None:
--- a/src/persimmonspur/daemon/controllers/statuses.py
+++ b/src/persimmonspur/daemon/controllers/statuses.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import msgspec
 from attrs import define, field
 
 from persimmonspur.daemon.instance import Instance
@@ -45,7 +46,11 @@
             known.repeats = [at_ms for at_ms in known.repeats if at_ms > now_ms]
             due.append(status)
         if due:
-            self._instance.broadcast(EndpointStatuses(due))
+            message = EndpointStatuses(due)
+            table = self._instance.cell.table
+            others = len(table.members) - 1 if table is not None else 0
+            self._count(message, others)
+            self._instance.broadcast(message)
 
     def inform(self, member: str, incarnation: int, *, configured: bool) -> None:
         """Send everything to a member that is new.
@@ -58,12 +63,18 @@
         self._informed[member] = (incarnation, configured)
         statuses = [known.status for known in self._published.values()]
         if configured and statuses:
-            self._instance.send(member, EndpointStatuses(statuses))
+            message = EndpointStatuses(statuses)
+            self._count(message, 1)
+            self._instance.send(member, message)
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that this instance no longer owns."""
         self._published.pop(endpoint, None)
 
+    def _count(self, message: EndpointStatuses, receivers: int) -> None:
+        size = len(msgspec.msgpack.encode(message))
+        self._instance.metrics.status_bytes.inc(size * receivers)
+
 
 def _is_due(known: _Published, status: EndpointStatus, now_ms: float) -> bool:
     if now_ms - known.sent_ms >= REFRESH_MS or any(at_ms <= now_ms for at_ms in known.repeats):
--- a/src/persimmonspur/daemon/metrics.py
+++ b/src/persimmonspur/daemon/metrics.py
@@ -72,6 +72,11 @@
             ["direction"],
             registry=self.registry,
         )
+        self.status_bytes = Counter(
+            "persimmonspur_status_bytes_total",
+            "Bytes of endpoint statuses sent to other instances",
+            registry=self.registry,
+        )
         self.claims = Counter(
             "persimmonspur_claims_total",
             "Decisions on non-repeatable requests at the claim owner",
--- a/src/persimmonspur/model/outcome.py
+++ b/src/persimmonspur/model/outcome.py
@@ -28,6 +28,8 @@
     :param error: ``None`` on success.
     :param reset: whether the connection broke without a response.
     :param closed: whether the connection cannot be used again.
+    :param connection_incarnation: incarnation that answered earlier on the
+        connection that broke; empty if it was new.
     :param duration_ms: time from send to outcome, in milliseconds.
     """
 
@@ -40,3 +42,4 @@
     duration_ms: float
     reset: bool = False
     closed: bool = False
+    connection_incarnation: str = ""
--- a/tests/core/claims/test_partition.py
+++ b/tests/core/claims/test_partition.py
@@ -109,3 +109,45 @@
     directory.observe_read(0, newer, 7, 10.0)
     directory.claim(0, "q", 1, 1, 100.0, 20.0)
     assert directory.tick(1, 40_000.0) == []
+
+
+def hand_over_to(former, value):
+    """Let the next owner inherit and return it."""
+    successor = ClaimPartition(0, "b", 6, first=False)
+    assert claim(successor, "old-epoch", epoch=5, version=6).kind is ErrorKind.STALE_EPOCH
+    assert successor.inherit(value, 0.0)
+    return successor
+
+
+def test_late_copy_of_a_rejected_request_does_not_run_at_the_next_owner(monkeypatch):
+    monkeypatch.setattr(module, "MAX_RECORDS", 1)
+    former = ClaimPartition(0, "a", 1, first=True)
+    claim(former, "kept")
+    assert claim(former, "rejected").ran is Ran.NO
+    former.close()
+    successor = hand_over_to(former, former.encode(6))
+    assert claim(successor, "rejected", version=6).ran is Ran.UNKNOWN
+
+
+def test_mark_in_the_object_api_lets_the_next_owner_run_older_epochs():
+    """Without the mark, callers that resolved before the move would get no answer."""
+    directory = start_directory()
+    directory.claim(0, "known", 1, 1, 1.0, 0.0)
+    directory.finish(0, "known", Ran.YES, 200, b"")
+    directory.adopt({0: Tenure(own=False, moved_at=6, first=False)}, 10.0)
+    assert directory.busy
+    (mark,) = directory.tick(6, 20.0)
+    directory.observe_write(0, 1, 30.0)
+    directory.tick(6, 40.0)
+    assert not directory.busy
+    successor = hand_over_to(directory, mark.value)
+    assert claim(successor, "known", version=6).kind is ErrorKind.OUTCOME_UNKNOWN
+    assert claim(successor, "new", epoch=1, version=6) == Run()
+
+
+def test_mark_for_another_change_is_not_trusted():
+    former = ClaimPartition(0, "a", 1, first=True)
+    former.close()
+    later = ClaimPartition(0, "b", 9, first=False)
+    assert not later.inherit(former.encode(6), 0.0)
+    assert claim(later, "q", epoch=5, version=9).kind is ErrorKind.STALE_EPOCH
--- a/tests/core/endpoints/test_gate.py
+++ b/tests/core/endpoints/test_gate.py
@@ -133,6 +133,22 @@
     assert isinstance(offer(gate, "later", 1_100.0)[0], Dispatch)
 
 
+def test_slots_of_an_ended_process_are_freed_by_a_later_report_only():
+    gate = build_gate()
+    gate.tick(0.0)
+    for name in ("known", "unknown"):
+        offer(gate, name)
+    fail(gate, "known", 5.0, ErrorKind.UNREACHABLE, reset=True, connection_incarnation="i1")
+    fail(gate, "unknown", 5.0, ErrorKind.UNREACHABLE, reset=True)
+    assert gate.get_status(6.0).running == 2
+    # The probe was sent before the break, so that its answer is no proof.
+    gate.observe_report(report("i2"), 7.0)
+    assert gate.get_status(8.0).running == 2
+    assert any(isinstance(action, Probe) for action in gate.tick(200.0))
+    gate.observe_report(report("i2"), 201.0)
+    assert gate.get_status(202.0).running == 1
+
+
 def test_slowness_halves_the_limit_once_per_period():
     warmup = WarmUp(8)
     warmup.restore(8)
@@ -141,6 +157,7 @@
     period = warmup.period
     warmup.observe_success(period, 0, 31.0)
     warmup.observe_success(period, 0, 31.0)
+    warmup.halve(period)
     assert warmup.limit == 4
     warmup.observe_success(warmup.period, 2, 31.0)
     assert warmup.limit == 4
--- a/tests/daemon/test_endpoint_controller.py
+++ b/tests/daemon/test_endpoint_controller.py
@@ -125,6 +125,16 @@
     assert len(list_replies(instance)) == 1
 
 
+def test_repeated_message_does_not_answer_for_the_first(instance):
+    """The first one ran at a gate that is gone; a rejection would say that it did not."""
+    instance.endpoint_calls.answer.set()
+    instance.endpoints.offer(OTHER, [build_request("q", repeatable=False)], 0.0, 1)
+    gevent.sleep(0)
+    del instance.endpoints._gates["e"]
+    instance.endpoints.offer(OTHER, [build_request("q", repeatable=False)], 0.0, 1)
+    assert list_replies(instance) == [("q", None, Ran.YES)]
+
+
 def test_release_waits_for_running_work_and_rejects_the_queue(instance):
     instance.endpoints.offer(OTHER, [build_request("running"), build_request("queued")], 0.0, 1)
     gevent.sleep(0)
