--- a/src/persimmonspur/daemon/controllers/cell.py
+++ b/src/persimmonspur/daemon/controllers/cell.py
@@ -21,6 +21,7 @@
 
 TICK_MS = 100.0
 REPORT_TICKS = 10
+FAREWELL_MS = 100.0
 
 # Two members read the instance list often; the others only learn which names it shows.
 LISTING_MS = 10_000.0
@@ -36,6 +37,7 @@
         self._cell = instance.cell
         self._key = f"cells/{instance.settings.cell}/table"
         self._table: CellTable | None = None
+        self._connected: set[str] = set()
         self._incarnation = instance.incarnation
         self._listed_ms = 0.0
         self._listing = False
@@ -47,9 +49,12 @@
         self._loop = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop to tick."""
+        """Stop to tick and tell the others that this instance has ended."""
         if self._loop is not None:
             self._loop.kill()
+        self.execute(self._cell.end(self._instance.clock.now_ms()))
+        # The sockets are closed next, which drops what they have not sent yet.
+        gevent.sleep(FAREWELL_MS / 1000)
 
     def list_handlers(self) -> dict[type, Handler]:
         """Return the handlers of table messages."""
@@ -141,10 +146,11 @@
         instance.metrics.table_version.set(table.version)
         instance.metrics.members.set(len(table.members))
         self._report_members(table)
-        former = self._table.members.keys() if self._table is not None else set()
         # Members of the version before may still have to be told of this one.
-        for name in former - table.members.keys() - table.joint_members:
+        for name in self._connected - table.members.keys() - table.joint_members:
             instance.transport.disconnect(name)
+            self._connected.discard(name)
+        self._connected |= table.members.keys()
         self._table = table
         instance.connect_members(table)
 
--- a/src/persimmonspur/load/results.py
+++ b/src/persimmonspur/load/results.py
@@ -173,6 +173,11 @@
     return total
 
 
+def list_calls(counts: dict[str, Any]) -> dict[str, int]:
+    """Return the object API's totals without its counts by key."""
+    return {kind: count for kind, count in counts.items() if isinstance(count, int)}
+
+
 def check_once(labels: dict[str, list[str]], counts: dict[str, Any]) -> OnceRecord:
     """Compare the answers to non-repeatable requests with the searchers' counts.
 
