--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -32,6 +32,7 @@
 
 TICK_MS = 20.0
 STATUS_TICKS = 10
+STATES = ("cold", "warming", "warm", "draining", "out", "ejected")
 PROBE_TIMEOUT_MS = 1_000.0
 # Longer than any query: after that no message of it is on the way.
 CLAIMED_MS = 120_000.0
@@ -226,6 +227,9 @@
         now_ms = self._instance.clock.now_ms()
         owned = [gate for name, gate in self._gates.items() if name not in self._retired]
         self._statuses.publish([gate.get_status(now_ms) for gate in owned], now_ms)
+        states = [gate.state for gate in owned]
+        for state in STATES:
+            self._instance.metrics.owned_endpoints.labels(state).set(states.count(state))
         for request_id, received_ms in list(self._claimed.items()):
             if now_ms - received_ms < CLAIMED_MS:
                 break
--- a/src/persimmonspur/daemon/metrics.py
+++ b/src/persimmonspur/daemon/metrics.py
@@ -72,6 +72,12 @@
             ["direction"],
             registry=self.registry,
         )
+        self.owned_endpoints = Gauge(
+            "persimmonspur_owned_endpoints",
+            "Endpoints that this instance owns, by state",
+            ["state"],
+            registry=self.registry,
+        )
         self.status_bytes = Counter(
             "persimmonspur_status_bytes_total",
             "Bytes of endpoint statuses sent to other instances",
