Express state machine rules once for hypothesis and for walks

Cause: each rule of the two state machines was written twice, once for hypothesis and once for the weighted walks.

Conclusion: a rule carries its weight and its options.

--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -8,10 +8,6 @@
 from persimmonspur.errors import ErrorKind, Ran
 from persimmonspur.load.processes import find_free_address
 
-NOT_READY = (503, {"error": "not_ready", "ran": "no"})
-NO_SNAPSHOT = (503, {"error": "no_snapshot", "ran": "no"})
-DONE = (200, {"records": []})
-
 
 class Entry:
     """An instance that answers as scripted and keeps what it got."""
@@ -25,71 +21,66 @@
     def handle(self, environ, start_response):
         body = read_body(environ)
         if environ["PATH_INFO"] == "/v1/resolve":
-            document = {"addresses": self.addresses, "keep_ms": 10_000.0, "epoch": self.epoch}
+            addresses = [self.address] * 3
+            document = {"addresses": addresses, "keep_ms": 10_000.0, "epoch": self.epoch}
             return respond_json(start_response, 200, document)
         self.queries.append(msgspec.json.decode(body))
         self.on_query()
-        return respond_json(start_response, *self.answers.pop(0))
+        error, ran = self.answers.pop(0)
+        document = {"error": error, "ran": ran}
+        return respond_json(start_response, 503 if error else 200, document)
 
 
 @pytest.fixture
 def entry():
     made = Entry()
-    made.addresses = [made.address] * 3
     yield made
     made.server.stop(timeout=0.1)
 
 
-def query(client, **options):
-    return client.query("s", "counter", 5_000.0, repeatable=False, **options)
+def query(entry, client=None, **options):
+    client = client or Client([entry.address])
+    answer = client.query("s", "counter", 5_000.0, repeatable=False, **options)
+    return answer, [(sent["request_id"], sent["epoch"]) for sent in entry.queries]
 
 
 def test_repeats_bear_the_id_and_epoch_of_the_first_attempt(entry):
     """A resolve by another query between two attempts must not raise the epoch."""
     client = Client([entry.address])
-    entry.answers = [NOT_READY, DONE]
+    entry.answers = [("not_ready", "no"), (None, "yes")]
 
     def resolve_again():
-        entry.epoch = 9
-        client._keep_until_ms = 0.0
+        entry.epoch, client._keep_until_ms = 9, 0.0
         client.resolve()
 
     entry.on_query = resolve_again
-    answer = query(client)
-    assert answer.error is None
-    assert [(q["request_id"], q["epoch"]) for q in entry.queries] == [(answer.request_id, 5)] * 2
-    assert answer.epoch == 5
+    answer, sent = query(entry, client)
+    assert sent == [(answer.request_id, 5)] * 2
+    assert (answer.error, answer.epoch) == (None, 5)
 
 
 def test_fresh_id_only_after_certainly_not_run(entry):
-    client = Client([entry.address])
-    entry.answers = [NO_SNAPSHOT, (502, {"error": "outcome_unknown", "ran": "unknown"})]
-    answer = query(client)
-    ids = [document["request_id"] for document in entry.queries]
-    assert len(set(ids)) == 2
+    entry.answers = [("no_snapshot", "no"), ("outcome_unknown", "unknown")]
+    answer, sent = query(entry)
+    assert len(set(sent)) == 2
     assert answer.ran is Ran.UNKNOWN
 
 
 def test_given_id_is_kept(entry):
-    client = Client([entry.address])
-    entry.answers = [NO_SNAPSHOT]
-    answer = query(client, request_id="mine", epoch=3)
+    entry.answers = [("no_snapshot", "no")]
+    answer, sent = query(entry, request_id="mine", epoch=3)
     assert (answer.request_id, answer.epoch, answer.ran) == ("mine", 3, Ran.NO)
-    assert entry.queries[0]["epoch"] == 3
+    assert sent == [("mine", 3)]
 
 
 def test_rejected_repeat_does_not_hide_a_lost_answer(entry):
     """The first attempt may have run; a later rejection cannot say that it did not."""
-    client = Client([entry.address])
-    entry.answers = [
-        (503, {"error": "unreachable", "ran": "unknown"}),
-        NO_SNAPSHOT,
-    ]
-    answer = query(client)
+    entry.answers = [("unreachable", "unknown"), ("no_snapshot", "no")]
+    answer, sent = query(entry)
     assert (answer.error, answer.ran) == (ErrorKind.NO_SNAPSHOT, Ran.UNKNOWN)
-    assert len({document["request_id"] for document in entry.queries}) == 1
+    assert len(set(sent)) == 1
 
 
-def test_refused_connections_did_not_run():
-    answer = query(Client([find_free_address()]))
+def test_refused_connections_did_not_run(entry):
+    answer, _ = query(entry, Client([find_free_address()]))
     assert (answer.error, answer.ran) == (ErrorKind.UNREACHABLE, Ran.NO)
--- a/tests/core/claims/test_claims_machine.py
+++ b/tests/core/claims/test_claims_machine.py
@@ -6,16 +6,17 @@
 from attrs import define, field
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize
 
 from persimmonspur.core.claims import partition as partition_module
-from persimmonspur.core.claims.actions import HandOver, ReadRecords, WriteRecords
+from persimmonspur.core.claims.actions import HandOver, ReadRecords
 from persimmonspur.core.claims.directory import ClaimDirectory, Tenure
 from persimmonspur.core.claims.partition import Answered, Refused, Run
 from persimmonspur.errors import Ran
-from walks import choose, walk
+from walks import SOURCE, choose, step, walk
 
-NAMES = ("a", "b", "c")
+NAMES = ["a", "b", "c"]
+SELDOM = [True] + [False] * 5
 
 
 @define
@@ -44,43 +45,32 @@
     @initialize(limit=st.sampled_from([2, 100_000]))
     def begin(self, limit):
         partition_module.MAX_RECORDS = limit
-        self.now = 0.0
+        self.now, self.down = 0.0, False
         self.tables = {1: Assigned("a", 1, 1, True)}
         self.nodes = {name: Node(name, 1, ClaimDirectory(name)) for name in NAMES}
-        self.stored, self.stored_version, self.down = None, 0, False
+        self.stored, self.stored_version = None, 0
         self.operations, self.messages = [], []
         self.epochs, self.runs, self.denied, self.answers = {}, {}, {}, {}
         for name in NAMES:
-            self.adopt(name, 1)
+            self.adopt_version(name, 1)
 
     def teardown(self):
         partition_module.MAX_RECORDS = 100_000
 
-    @property
-    def latest(self):
-        return max(self.tables)
-
     def owns(self, node):
         table = self.tables[node.version]
         return (table.owner, table.incarnation) == (node.name, node.incarnation)
 
     def usable(self, node):
         """What the cell guarantees: two valid owners never exist at once."""
-        if not self.owns(node) or not node.valid:
-            return False
-        return not any(
-            other is not node and self.owns(other) and other.valid for other in self.nodes.values()
-        )
+        return [n for n in self.nodes.values() if self.owns(n) and n.valid] == [node]
 
-    def adopt(self, name, version):
-        node = self.nodes[name]
+    def adopt_version(self, name, version):
+        node, table = self.nodes[name], self.tables[version]
         if version <= node.version:
             return
         owned = node.version and self.owns(node)
-        node.version = version
-        table = self.tables[version]
-        # A new owner waits for the end of the former one's validity.
-        node.valid = True
+        node.version, node.valid = version, True
         if owned and not self.owns(node):
             node.directory.release(0, table.owner, version)
         tenure = Tenure(self.owns(node), table.moved_at, table.first)
@@ -93,50 +83,53 @@
             else:
                 self.operations.append((node, action))
 
-    @rule(name=st.sampled_from(NAMES), data=st.data())
-    def adopt_table(self, name, data):
-        self.adopt(name, choose(data, list(range(1, self.latest + 1))))
+    def deny(self, request_id):
+        assert self.runs[request_id] == 0, "told not run, although it ran"
+        self.denied.setdefault(request_id, self.now)
+
+    @step(5, name=NAMES, data=SOURCE, latest=[True, True, True, True, False])
+    def adopt(self, name, data, latest):
+        versions = sorted(self.tables)
+        self.adopt_version(name, versions[-1] if latest else choose(data, versions))
 
-    @rule(name=st.sampled_from(NAMES))
+    @step(1, name=NAMES)
     def move(self, name):
-        former, version = self.tables[self.latest], self.latest + 1
-        node = self.nodes[name]
-        if (former.owner, former.incarnation) == (name, node.incarnation):
-            self.tables[version] = former
-            return
-        self.tables[version] = Assigned(name, node.incarnation, version, False)
+        version, node = max(self.tables) + 1, self.nodes[name]
+        former = self.tables[version - 1]
+        same = (former.owner, former.incarnation) == (name, node.incarnation)
+        new = Assigned(name, node.incarnation, version, False)
+        self.tables[version] = former if same else new
 
-    @rule(name=st.sampled_from(NAMES))
+    @step(0.4, name=NAMES)
     def kill(self, name):
         old = self.nodes[name]
         self.nodes[name] = Node(name, old.incarnation + 1, ClaimDirectory(name))
-        self.adopt(name, old.version)
+        self.adopt_version(name, old.version)
 
-    @rule(name=st.sampled_from(NAMES))
+    @step(1, name=NAMES)
     def expire(self, name):
         self.nodes[name].valid = False
 
-    @rule(duration=st.sampled_from([100.0, 2_000.0, 31_000.0, 700_000.0]))
+    @step(4, duration=[100.0, 2_000.0, 31_000.0, 700_000.0])
     def pass_time(self, duration):
         self.now += duration
         for node in self.nodes.values():
             self.do(node, node.directory.tick(node.version, self.now))
 
-    @rule(name=st.sampled_from(NAMES), zero=st.booleans())
+    @step(3, name=NAMES, zero=SELDOM)
     def create(self, name, zero):
-        """A caller resolves at any member and sends a first attempt."""
+        """A caller resolves at any member before its first attempt."""
         request_id = f"q{len(self.epochs):03d}"
         self.epochs[request_id] = 0 if zero else self.nodes[name].version
         self.runs[request_id] = 0
 
-    @precondition(lambda self: self.epochs)
-    @rule(data=st.data(), name=st.sampled_from(NAMES))
+    @step(10, lambda self: self.epochs, data=SOURCE, name=[*NAMES, None])
     def deliver_query(self, data, name):
-        """A forward, first or repeated, arrives at some member at some time."""
+        """A forward, first or repeated, arrives at some member, often the owner."""
         request_id = choose(data, sorted(self.epochs))
         if self.now - self.denied.get(request_id, self.now) > 60_000.0:
             return  # No copy of the request is on the way any more.
-        node = self.nodes[name]
+        node = self.nodes[name or self.tables[max(self.tables)].owner]
         until = self.now + 1.0 if self.usable(node) else 0.0
         decision = node.directory.claim(
             0, request_id, self.epochs[request_id], node.version, until, self.now
@@ -144,65 +137,46 @@
         if isinstance(decision, Run):
             assert self.usable(node)
             node.running[request_id] = False
-        if isinstance(decision, Refused) and decision.ran is Ran.NO:
-            self.deny(request_id)
         if isinstance(decision, Answered):
             assert decision.document == self.answers[request_id]
-            if decision.document == b"no":
-                self.deny(request_id)
-
-    def deny(self, request_id):
-        assert self.runs[request_id] == 0, "told not run, although it ran"
-        self.denied.setdefault(request_id, self.now)
+        answered_no = isinstance(decision, Answered) and decision.document == b"no"
+        if answered_no or (isinstance(decision, Refused) and decision.ran is Ran.NO):
+            self.deny(request_id)
 
-    def pick_running(self, data):
+    @step(6, lambda self: any(n.running for n in self.nodes.values()), data=SOURCE, end=SELDOM[:3])
+    def run_or_finish(self, data, end):
+        """The coordinator goes on with a recorded request, even if it lost the partition."""
         pairs = [(n.name, r) for n in self.nodes.values() for r in sorted(n.running)]
         name, request_id = choose(data, pairs)
-        return self.nodes[name], request_id
-
-    @precondition(lambda self: any(node.running for node in self.nodes.values()))
-    @rule(data=st.data())
-    def execute(self, data):
-        """The coordinator runs a recorded request, even after it lost the partition."""
-        node, request_id = self.pick_running(data)
-        if node.running[request_id]:
+        node = self.nodes[name]
+        if not end and not node.running[request_id]:
+            node.running[request_id] = True
+            self.runs[request_id] += 1
+            assert self.runs[request_id] <= 1, "a request ran twice"
+            assert request_id not in self.denied, "ran after it was told not run"
+        if not end:
             return
-        node.running[request_id] = True
-        self.runs[request_id] += 1
-        assert self.runs[request_id] <= 1, "a request ran twice"
-        assert request_id not in self.denied, "ran after it was told not run"
-
-    @precondition(lambda self: any(node.running for node in self.nodes.values()))
-    @rule(data=st.data())
-    def finish(self, data):
-        node, request_id = self.pick_running(data)
-        ran = node.running.pop(request_id)
-        self.answers[request_id] = b"yes" if ran else b"no"
-        node.directory.finish(
-            0, request_id, Ran.YES if ran else Ran.NO, 200, self.answers[request_id]
-        )
-        if not ran:
+        ran = Ran.YES if node.running.pop(request_id) else Ran.NO
+        self.answers[request_id] = ran.encode()
+        node.directory.finish(0, request_id, ran, 200, self.answers[request_id])
+        if ran is Ran.NO:
             self.deny(request_id)
 
-    @rule()
+    @step(0.3)
     def toggle_outage(self):
         self.down = not self.down
 
-    @precondition(lambda self: self.operations)
-    @rule(data=st.data(), lost=st.booleans())
+    @step(6, lambda self: self.operations, data=SOURCE, lost=SELDOM)
     def complete_operation(self, data, lost):
         index = choose(data, list(range(len(self.operations))))
         node, action = self.operations.pop(index)
         alive = self.nodes[node.name] is node
         if isinstance(action, ReadRecords):
-            if not alive:
-                return
-            if self.down or lost:
+            if alive and (self.down or lost):
                 node.directory.observe_read_failure(0, self.now)
-            else:
+            elif alive:
                 node.directory.observe_read(0, self.stored, self.stored_version, self.now)
             return
-        assert isinstance(action, WriteRecords)
         written = None
         if not self.down and action.expected_version == self.stored_version:
             self.stored, self.stored_version = action.value, self.stored_version + 1
@@ -210,8 +184,7 @@
         if alive:
             node.directory.observe_write(0, written, self.now)
 
-    @precondition(lambda self: self.messages)
-    @rule(data=st.data(), again=st.booleans())
+    @step(3, lambda self: self.messages, data=SOURCE, again=SELDOM)
     def deliver_release(self, data, again):
         message = choose(data, self.messages)
         if not again:
@@ -226,41 +199,6 @@
 @pytest.mark.parametrize("seed", range(200))
 def test_requests_run_at_most_once_on_random_walks(seed):
     rng = Random(seed)
-    m = ClaimsMachine()
-    m.begin(rng.choice([2, 100_000]))
-
-    def adopt_latest(r):
-        m.adopt(r.choice(NAMES), m.latest)
-
-    def deliver_recent(r):
-        if m.epochs:
-            name = r.choice([m.tables[m.latest].owner, *NAMES])
-            m.deliver_query(r, name)
-
-    def run(r):
-        if any(node.running for node in m.nodes.values()):
-            r.choice([m.execute, m.execute, m.finish])(r)
-
-    def operate(r):
-        if m.operations:
-            m.complete_operation(r, r.random() < 0.15)
-
-    def release(r):
-        if m.messages:
-            m.deliver_release(r, r.random() < 0.2)
-
-    steps = [
-        (4, adopt_latest),
-        (1, lambda r: m.adopt_table(r.choice(NAMES), r)),
-        (1, lambda r: m.move(r.choice(NAMES))),
-        (0.4, lambda r: m.kill(r.choice(NAMES))),
-        (1, lambda r: m.expire(r.choice(NAMES))),
-        (4, lambda r: m.pass_time(r.choice([100.0, 2_000.0, 31_000.0, 700_000.0]))),
-        (3, lambda r: m.create(r.choice(NAMES), r.random() < 0.2)),
-        (10, deliver_recent),
-        (6, run),
-        (6, operate),
-        (3, release),
-        (0.3, lambda r: m.toggle_outage()),
-    ]
-    walk(m, steps, rng, 250)
+    machine = ClaimsMachine()
+    machine.begin(rng.choice([2, 100_000]))
+    walk(machine, rng, 250)
--- a/tests/core/endpoints/test_gate_machine.py
+++ b/tests/core/endpoints/test_gate_machine.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize
 
 from persimmonspur.core.endpoints.actions import CancelAtEndpoint, Dispatch, Reply
 from persimmonspur.core.endpoints.gate import EndpointGate
@@ -14,55 +14,54 @@
 from persimmonspur.model.messages import SubRequest
 from persimmonspur.model.outcome import EndpointOutcome, EndpointReport
 from persimmonspur.model.query import SnapshotId
-from walks import choose, walk
+from walks import SOURCE, choose, step, walk
 
 SNAPSHOT = SnapshotId(1, 1)
-
-
-def build_request(name, timeout_ms=1_000.0, priority=0, *, repeatable=True, hedge=False):
-    return SubRequest(
-        name, name, "s", "a", "e", SNAPSHOT, timeout_ms, priority, repeatable, hedge, -1, None
-    )
-
-
-def data_flag(data):
-    return choose(data, [True, False])
+BOTH = [True, False]
+STATES = ["warm"] * 18 + ["cold", "draining"]
+ERRORS = {
+    "shed": (ErrorKind.OVERLOADED, Ran.NO),
+    "drain": (ErrorKind.ENDPOINT_DRAINING, Ran.NO),
+    "bare": (ErrorKind.ENDPOINT_DRAINING, Ran.NO),
+    "refused": (ErrorKind.UNREACHABLE, Ran.NO),
+    "failed": (ErrorKind.ENDPOINT_FAILED, Ran.YES),
+    "stale": (ErrorKind.ENDPOINT_FAILED, Ran.YES),
+}
 
 
 class GateMachine(RuleBasedStateMachine):
     """A gate, a fake endpoint, and an independent account of what the gate may do."""
 
-    @initialize(slots=st.integers(1, 4), connections=st.integers(1, 6), queue=st.integers(1, 5))
+    @initialize(slots=st.integers(1, 4), connections=st.integers(1, 9), queue=st.integers(1, 5))
     def begin(self, slots, connections, queue):
         self.now = 1_000.0
         self.endpoint = Endpoint("e", "s", "127.0.0.1:1", "d", ("a",))
         self.limits = Limits(slots, connections, 1.0, queue)
         self.gate = EndpointGate(self.endpoint, self.limits, 10.0, seed=3)
-        self.desired, self.usable, self.flagged_at = Desired.SERVING, 0.0, None
-        self.incarnation, self.seen, self.proven = 1, 0, 0
-        self.names, self.offered, self.offered_at, self.answered = 0, {}, {}, {}
-        self.dispatches, self.open, self.unanswered, self.refused = {}, {}, set(), set()
-        self.order = 0
+        self.desired, self.flagged_at = Desired.SERVING, None
+        # The endpoint's incarnation, the latest that was reported, and the
+        # successes and period of the warm-up since the last cold event.
+        self.incarnation, self.seen, self.proven, self.period = 1, 0, 0, 0
+        self.offered, self.offered_at, self.answered, self.dispatches = {}, {}, {}, {}
+        self.open, self.unanswered, self.not_run = {}, set(), set()
         self.extend(10_000.0)
 
-    def take(self, actions, now=None):
+    def take(self, actions):
         for action in actions:
             if isinstance(action, Dispatch):
-                self.check_dispatch(action)
+                self.check_dispatch(action, action.request.id)
             if isinstance(action, Reply):
                 name = action.reply.id
-                assert name not in self.answered, "a request was answered twice"
                 assert name in self.offered
+                assert name not in self.answered, "a request was answered twice"
                 self.answered[name] = action.reply
                 if action.reply.ran is Ran.NO and name in self.dispatches:
-                    assert name in self.refused, "not run, although it was sent"
+                    assert name in self.not_run, "not run, although it was sent"
 
-    def check_dispatch(self, action):
-        name = action.request.id
+    def check_dispatch(self, action, name):
         assert name not in self.dispatches, "a request was sent twice"
         assert name not in self.answered, "sent after its answer"
-        assert self.now < self.usable, "sent without the right"
-        assert action.expires_ms <= self.usable
+        assert self.now < action.expires_ms <= self.usable, "sent without the right"
         assert self.desired is Desired.SERVING, "sent while out of service"
         assert self.flagged_at is None, "sent while the endpoint drains"
         running = sum(1 for expires in self.open.values() if self.now < expires)
@@ -72,17 +71,17 @@
         assert running < min(self.limits.slots, level), "more work than the limit"
         if self.offered[name].hedge:
             assert level >= self.limits.slots, "hedge sent to an endpoint that is not warm"
-        self.dispatches[name] = (self.now, self.order, self.incarnation)
+        self.dispatches[name] = (self.now, self.period, self.incarnation)
         self.open[name] = action.expires_ms
         self.unanswered.add(name)
 
-    def build_report(self, state="warm", incarnation=None):
-        number = incarnation or self.incarnation
-        return EndpointReport(f"i{number}", state, 0.5, (SNAPSHOT,))
+    def report(self, state="warm", incarnation=None):
+        name = f"i{incarnation or self.incarnation}"
+        return EndpointReport(name, state, 0.5, (SNAPSHOT,))
 
     def note_cold(self):
         self.proven = 0
-        self.order += 1
+        self.period += 1
 
     def note_report(self, report, sent):
         number = int(report.incarnation[1:])
@@ -90,7 +89,7 @@
             return
         if self.seen and number > self.seen:
             self.note_cold()
-        self.seen = max(self.seen, number)
+        self.seen = number
         if report.state == "draining":
             self.flagged_at = self.now
         elif self.flagged_at is not None and sent >= self.flagged_at:
@@ -98,95 +97,70 @@
             self.note_cold()
 
     def finish(self, name, outcome):
-        first = name in self.unanswered
-        sent, order, _ = self.dispatches[name]
-        if first:
+        sent, period, _ = self.dispatches[name]
+        if name in self.unanswered:
             self.unanswered.discard(name)
             if outcome.reset:
                 self.note_cold()
             if outcome.report is not None:
                 self.note_report(outcome.report, sent)
-            if outcome.error is None and order == self.order:
+            if outcome.error is None and period == self.period:
                 self.proven += 1
             if outcome.error is ErrorKind.ENDPOINT_DRAINING:
                 self.flagged_at = self.now
         if outcome.ran is Ran.NO or outcome.error is None or outcome.report is not None:
             self.open.pop(name, None)
         if outcome.ran is Ran.NO:
-            self.refused.add(name)
+            self.not_run.add(name)
         self.take(self.gate.complete(name, outcome, self.now))
 
-    def pick(self, data):
-        if isinstance(data, Random) and self.unanswered and data.random() < 0.9:
-            return choose(data, sorted(self.unanswered))
-        return choose(data, sorted(self.dispatches))
-
-    @rule(
-        timeout=st.sampled_from([5.0, 40.0, 1_000.0]),
-        priority=st.integers(0, 2),
-        hedge=st.booleans(),
-        repeatable=st.booleans(),
+    @step(
+        12, timeout=[5.0, 40.0, 1_000.0, 1_000.0], priority=[0, 1, 2], hedge=BOTH, repeatable=BOTH
     )
     def offer(self, timeout, priority, hedge, repeatable):
-        self.names += 1
-        name = f"r{self.names:04d}"
-        request = build_request(name, timeout, priority, repeatable=repeatable, hedge=hedge)
+        name = f"r{len(self.offered):04d}"
+        request = SubRequest(
+            name, name, "s", "a", "e", SNAPSHOT, timeout, priority, repeatable, hedge, -1, None
+        )
         self.offered[name], self.offered_at[name] = request, self.now
         self.take(self.gate.offer(request, self.now))
 
-    @precondition(lambda self: self.offered)
-    @rule(data=st.data())
+    @step(0.5, lambda self: self.offered, data=SOURCE)
     def offer_again(self, data):
         name = choose(data, sorted(self.offered))
         recent = self.now - self.offered_at[name] < 60_000.0
         if name not in self.answered or (recent and not self.offered[name].repeatable):
             self.take(self.gate.offer(self.offered[name], self.now))
 
-    @precondition(lambda self: self.dispatches)
-    @rule(data=st.data(), state=st.sampled_from(["warm", "warm", "warm", "cold", "draining"]))
-    def succeed(self, data, state):
-        name = self.pick(data)
-        report = self.build_report(state)
-        self.finish(name, EndpointOutcome(None, "", Ran.YES, [], SNAPSHOT, report, 9.0))
+    @step(14, lambda self: self.dispatches, data=SOURCE, state=STATES, late=[True] + [False] * 9)
+    def succeed(self, data, state, late):
+        name = choose(
+            data, sorted(self.dispatches if late or not self.unanswered else self.unanswered)
+        )
+        outcome = EndpointOutcome(None, "", Ran.YES, [], SNAPSHOT, self.report(state), 9.0)
+        self.finish(name, outcome)
 
-    @precondition(lambda self: self.dispatches)
-    @rule(
-        data=st.data(),
-        kind=st.sampled_from(["shed", "drain", "bare", "refused", "failed", "stale"]),
-    )
+    @step(1, lambda self: self.dispatches, data=SOURCE, kind=sorted(ERRORS))
     def answer_error(self, data, kind):
-        name = self.pick(data)
-        report = self.build_report("draining" if kind == "drain" else "warm")
-        if kind == "stale":
-            report = self.build_report("warm", self.dispatches[name][2])
-        error, ran = {
-            "shed": (ErrorKind.OVERLOADED, Ran.NO),
-            "drain": (ErrorKind.ENDPOINT_DRAINING, Ran.NO),
-            "bare": (ErrorKind.ENDPOINT_DRAINING, Ran.NO),
-            "refused": (ErrorKind.UNREACHABLE, Ran.NO),
-            "failed": (ErrorKind.ENDPOINT_FAILED, Ran.YES),
-            "stale": (ErrorKind.ENDPOINT_FAILED, Ran.YES),
-        }[kind]
+        name = choose(data, sorted(self.dispatches))
+        error, ran = ERRORS[kind]
         if ran is Ran.NO and name not in self.unanswered:
             return
-        reset = kind == "refused"
+        incarnation = self.dispatches[name][2] if kind == "stale" else None
+        report = self.report("draining" if kind == "drain" else "warm", incarnation)
         report = None if kind in ("refused", "bare") else report
-        outcome = EndpointOutcome(error, "", ran, None, None, report, 9.0, reset)
+        outcome = EndpointOutcome(error, "", ran, None, None, report, 9.0, kind == "refused")
         self.finish(name, outcome)
 
-    @precondition(lambda self: self.unanswered)
-    @rule(data=st.data(), reset=st.booleans())
-    def lose_reply(self, data, reset):
+    @step(1, lambda self: self.unanswered, data=SOURCE, reset=BOTH, known=BOTH)
+    def lose_reply(self, data, reset, known):
         name = choose(data, sorted(self.unanswered))
         kind = ErrorKind.UNREACHABLE if reset else ErrorKind.DEADLINE_EXCEEDED
-        connected = f"i{self.dispatches[name][2]}" if data_flag(data) else ""
-        outcome = EndpointOutcome(
-            kind, "", Ran.UNKNOWN, None, None, None, 40.0, reset, True, connected
-        )
-        self.finish(name, outcome)
+        connected = f"i{self.dispatches[name][2]}" if known else ""
+        unknown = (kind, "", Ran.UNKNOWN, None, None, None, 40.0, reset, True, connected)
+        self.finish(name, EndpointOutcome(*unknown))
 
-    @precondition(lambda self: self.offered)
-    @rule(data=st.data())
+    @step(0.5, lambda self: self.offered, data=SOURCE)
     def cancel(self, data):
         name = choose(data, sorted(self.offered))
         actions = self.gate.cancel(name, self.now)
@@ -194,17 +168,15 @@
             assert all(isinstance(action, CancelAtEndpoint) for action in actions)
         self.take(actions)
 
-    @rule(state=st.sampled_from(["warm", "cold", "draining"]), lost=st.booleans())
+    @step(2, state=STATES, lost=[True, False, False, False])
     def probe(self, state, lost):
         self.take(self.gate.tick(self.now))
-        if lost:
-            self.take(self.gate.observe_report(None, self.now))
-            return
-        report = self.build_report(state)
-        self.note_report(report, self.gate._probe_sent_ms)
+        report = None if lost else self.report(state)
+        if report is not None:
+            self.note_report(report, self.gate._probe_sent_ms)
         self.take(self.gate.observe_report(report, self.now))
 
-    @rule()
+    @step(0.5)
     def restart_endpoint(self):
         # The work of a process ends with it.
         for name in list(self.open):
@@ -212,31 +184,26 @@
                 del self.open[name]
         self.incarnation += 1
 
-    @rule()
+    @step(0.5)
     def close_idle(self):
         self.take(self.gate.observe_idle_closed(self.now))
 
-    @rule(desired=st.sampled_from(list(Desired)))
+    @step(0.5, desired=[Desired.SERVING, Desired.SERVING, Desired.DRAINING, Desired.OUT])
     def configure(self, desired):
         if self.desired is not Desired.SERVING and desired is Desired.SERVING:
             self.note_cold()
         self.desired = desired
         self.take(self.gate.configure(self.endpoint, self.limits, desired, self.now))
 
-    @rule(duration=st.sampled_from([0.0, 10.0, 500.0, 5_000.0]))
+    @step(3, duration=[0.0, 10.0, 500.0, *[5_000.0] * 12])
     def extend(self, duration):
         self.usable = self.now + duration if duration else 0.0
         self.take(self.gate.extend(self.usable, self.now))
 
-    @rule(step=st.sampled_from([1.0, 20.0, 60.0, 1_000.0, 70_000.0]))
-    def pass_time(self, step):
-        self.now += step
+    @step(8, time=[1.0, 1.0, 5.0, 20.0, 60.0, 1_000.0, 1_000.0])
+    def pass_time(self, time):
+        self.now += time
         self.take(self.gate.tick(self.now))
-
-    @invariant()
-    def status_tells_the_limit(self):
-        if not hasattr(self, "gate"):
-            return
         status = self.gate.get_status(self.now)
         assert 1 <= status.limit <= self.limits.slots
         assert status.usable <= (self.now < self.usable and self.desired is Desired.SERVING)
@@ -259,43 +226,6 @@
 @pytest.mark.parametrize("seed", range(150))
 def test_gate_keeps_its_promises_on_random_walks(seed):
     rng = Random(seed)
-    m = GateMachine()
-    m.begin(rng.randint(1, 4), rng.choice([1, 3, 9]), rng.randint(1, 5))
-    states = ["warm"] * 18 + ["cold", "draining"]
-    errors = ["shed", "drain", "bare", "refused", "failed", "stale"]
-    wanted = [Desired.SERVING, Desired.SERVING, Desired.DRAINING, Desired.OUT]
-
-    def offer(r):
-        timeout = r.choice([5.0, 40.0, 1_000.0, 1_000.0])
-        m.offer(timeout, r.randint(0, 2), r.random() < 0.3, r.random() < 0.7)
-
-    def succeed(r):
-        if m.dispatches:
-            m.succeed(r, r.choice(states))
-
-    def fail(r):
-        if m.dispatches:
-            m.answer_error(r, r.choice(errors))
-
-    def lose(r):
-        if m.unanswered:
-            m.lose_reply(r, r.random() < 0.4)
-
-    def repeat(r):
-        if m.offered:
-            r.choice([m.offer_again, m.cancel])(r)
-
-    steps = [
-        (12, offer),
-        (14, succeed),
-        (1, fail),
-        (1, lose),
-        (1, repeat),
-        (2, lambda r: m.probe(r.choice(states), r.random() < 0.2)),
-        (0.5, lambda r: m.restart_endpoint()),
-        (0.5, lambda r: m.close_idle()),
-        (0.5, lambda r: m.configure(r.choice(wanted))),
-        (3, lambda r: m.extend(r.choice([0.0, 10.0, 500.0, *[5_000.0] * 12]))),
-        (8, lambda r: m.pass_time(r.choice([1.0, 1.0, 5.0, 20.0, 60.0, 1_000.0]))),
-    ]
-    walk(m, steps, rng, 250)
+    machine = GateMachine()
+    machine.begin(rng.randint(1, 4), rng.choice([1, 3, 9]), rng.randint(1, 5))
+    walk(machine, rng, 250)
--- a/tests/daemon/test_claim_controller.py
+++ b/tests/daemon/test_claim_controller.py
@@ -21,8 +21,7 @@
     """Coordination that ends when the test says so."""
 
     def __init__(self):
-        self.runs, self.finish = [], gevent.event.Event()
-        self.failure = None
+        self.runs, self.finish, self.failure = [], gevent.event.Event(), None
 
     def run(self, query, priority, partition):
         self.runs.append((query.request_id, partition))
@@ -39,19 +38,19 @@
     def __init__(self):
         self.lost, self.log = set(), []
         self.instances = {name: self.build(name) for name in NAMES}
+        self.owner = self.instances["entry-2"].queries
         self.assign("entry-2", 1)
 
     def build(self, name):
         instance = build_instance(instance=name)
-        instance.clock = Clock()
-        instance.queries = FakeQueries()
+        instance.clock, instance.queries = Clock(), FakeQueries()
         instance.claims = ClaimController(instance)
         instance.view.services = {"s": None}
         classes = (PriorityClass("counter", 0, 1.0),)
         instance.holder._configuration = Configuration("d", (), classes, ())
         instance.cell.partition_usable_until = lambda number, now_ms: now_ms + 1_000.0
         instance.send = lambda receiver, body: self.send(name, receiver, body)
-        instance.broadcast = lambda body: self.log.append(body)
+        instance.broadcast = self.log.append
         return instance
 
     def assign(self, owner, version):
@@ -75,41 +74,35 @@
         query = Query("s", "counter", timeout_ms, request_id, epoch, False)
         return gevent.spawn(self.instances[name].claims.run, query, 0)
 
+    def wait_for(self, kind):
+        while not any(type(body) is kind for body in self.log):
+            gevent.sleep(0.001)
+
 
 @pytest.fixture
 def pair():
     return Pair()
 
 
-def count(pair, kind):
-    return sum(1 for body in pair.log if type(body) is kind)
-
-
-def wait_until(condition):
-    while not condition():
-        gevent.sleep(0.001)
-
-
 def test_query_runs_at_the_claim_owner_and_repeats_get_its_answer(pair):
     tasks = [pair.run("entry-2"), pair.run("entry-2"), pair.run("entry-1")]
-    owner = pair.instances["entry-2"].queries
-    wait_until(lambda: owner.runs)
-    owner.finish.set()
+    pair.wait_for(ForwardedQuery)
+    pair.owner.finish.set()
     assert {str(task.get()) for task in tasks} == {str(pair.run("entry-1").get())}
-    assert owner.runs == [("q", find_partition("q"))]
+    assert pair.owner.runs == [("q", find_partition("q"))]
     assert pair.instances["entry-1"].queries.runs == []
 
 
 def test_lost_forwards_and_answers_are_repeated_without_a_second_run(pair):
     pair.lost = {ForwardedQuery}
     task = pair.run()
-    wait_until(lambda: count(pair, ForwardedQuery) == 1)
+    pair.wait_for(ForwardedQuery)
     pair.lost = {ForwardedAnswer}
-    pair.instances["entry-2"].queries.finish.set()
-    wait_until(lambda: count(pair, ForwardedAnswer) == 1)
+    pair.owner.finish.set()
+    pair.wait_for(ForwardedAnswer)
     pair.lost = set()
     assert task.get().failure is None
-    assert len(pair.instances["entry-2"].queries.runs) == 1
+    assert len(pair.owner.runs) == 1
 
 
 def test_no_answer_in_time_is_unknown(pair):
@@ -118,30 +111,23 @@
     assert (failure.kind, failure.ran) == (ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
 
 
-def test_crashed_coordination_is_unknown_and_not_repeated(pair):
-    owner = pair.instances["entry-2"].queries
-    owner.failure = "crash"
-    owner.finish.set()
-    task = pair.run(timeout_ms=200.0)
-    assert task.get().failure.ran is Ran.UNKNOWN
-    assert pair.run("entry-2").get().failure.ran is Ran.UNKNOWN
-    assert len(owner.runs) == 1
-
-
-def test_recorded_rejection_is_repeated_word_for_word(pair):
-    owner = pair.instances["entry-2"].queries
-    owner.failure = Failure.of(ErrorKind.NO_SNAPSHOT, "none", Ran.NO)
-    owner.finish.set()
-    assert pair.run().get().failure.ran is Ran.NO
-    owner.failure = None
-    assert pair.run().get().failure.ran is Ran.NO
-    assert len(owner.runs) == 1
+@pytest.mark.parametrize(
+    ("failure", "ran"),
+    [("crash", Ran.UNKNOWN), (Failure.of(ErrorKind.NO_SNAPSHOT, "none", Ran.NO), Ran.NO)],
+)
+def test_recorded_failure_is_repeated_and_the_query_is_not(pair, failure, ran):
+    pair.owner.failure = failure
+    pair.owner.finish.set()
+    assert pair.run(timeout_ms=200.0).get().failure.ran is ran
+    pair.owner.failure = None
+    assert pair.run("entry-2").get().failure.ran is ran
+    assert len(pair.owner.runs) == 1
 
 
 def test_epoch_above_the_table_fetches_the_newer_one(pair):
     task = pair.run("entry-2", epoch=2)
-    wait_until(lambda: count(pair, FetchTable))
-    assert pair.instances["entry-2"].queries.runs == []
+    pair.wait_for(FetchTable)
+    assert pair.owner.runs == []
     pair.instances["entry-1"].queries.finish.set()
     pair.assign("entry-1", 2)
     assert task.get().failure is None
--- a/tests/process/test_claims.py
+++ b/tests/process/test_claims.py
@@ -1,6 +1,7 @@
 """Guards against a second run of a non-repeatable request after its claim owner died."""
 
 import signal
+from collections import Counter
 
 import gevent
 import pytest
@@ -13,40 +14,29 @@
 from persimmonspur.load.processes import start_deployment
 from persimmonspur.model.messages import find_partition
 
+IDS = [f"ticket-{index}" for index in range(24)]
 BODY = {"once": True, "work_ms": 150.0}
 
 
-def send(address, request_id, epoch, timeout_ms=3_000.0):
+def send(address, request_id, epoch):
     client = Client([address])
-    client.resolve()
-    client._addresses = [address]
-    try:
-        return client.query(
-            "refill-ledger",
-            "counter",
-            timeout_ms,
-            body=BODY,
-            repeatable=False,
-            request_id=request_id,
-            epoch=epoch,
-        )
-    finally:
-        client.close()
+    client._addresses, client._keep_until_ms = [address], float("inf")
+    fields = {"body": BODY, "repeatable": False, "request_id": request_id, "epoch": epoch}
+    return client.query("refill-ledger", "counter", 15_000.0, **fields)
 
 
-def find_claim_owners(processes):
+def read_table(processes):
     api = HttpObjectApi(processes.object_api)
     table = decode_table(api.read("cells/main/table").ok.value)
     api.close()
-    return table.version, {n: a.owner for n, a in table.claim_owners.items()}
+    return table
 
 
-def count_runs(processes, request_id):
-    runs = {}
+def count_runs(processes):
+    """Return how often each shard's part of each request ran, over all searchers."""
+    runs = Counter()
     for counts in processes.read_counts().values():
-        for key, number in counts["runs"].items():
-            if key.startswith(f"{request_id}/"):
-                runs[key] = runs.get(key, 0) + number
+        runs.update(counts["runs"])
     return runs
 
 
@@ -54,33 +44,27 @@
 def test_repeats_after_the_claim_owner_was_killed_run_at_most_once():
     processes = start_deployment(DEPLOYMENTS["bengal-east"], instances=4)
     try:
-        epoch, owners = find_claim_owners(processes)
-        ids = [f"ticket-{index}" for index in range(24)]
-        victim = owners[find_partition(ids[0])]
-        survivors = [d.caller_address for n, d in processes.daemons.items() if n != victim]
-        first = [gevent.spawn(send, survivors[0], request_id, epoch) for request_id in ids]
+        table = read_table(processes)
+        victim = table.claim_owners[find_partition(IDS[0])].owner
+        addresses = [d.caller_address for n, d in processes.daemons.items() if n != victim]
+        tasks = [gevent.spawn(send, addresses[0], name, table.version) for name in IDS]
         gevent.sleep(0.1)
         processes.daemons[victim].process.send_signal(signal.SIGKILL)
-        repeats = [
-            gevent.spawn(send, survivors[1], request_id, epoch, 15_000.0) for request_id in ids
-        ]
-        gevent.joinall(first + repeats)
-        moved = [i for i in ids if owners[find_partition(i)] == victim]
-        last = {i: send(survivors[2], i, epoch, 15_000.0) for i in ids}
-        fresh = send(survivors[2], "fresh", find_claim_owners(processes)[0], 15_000.0)
-        runs = {request_id: count_runs(processes, request_id) for request_id in ids}
+        tasks += [gevent.spawn(send, addresses[1], name, table.version) for name in IDS]
+        gevent.joinall(tasks, raise_error=True)
+        last = {name: send(addresses[2], name, table.version) for name in IDS}
+        fresh = send(addresses[2], "fresh", read_table(processes).version)
+        runs = count_runs(processes)
     finally:
         processes.stop()
-    assert moved
     assert fresh.error is None
-    for request_id in ids:
-        assert all(number == 1 for number in runs[request_id].values()), request_id
-    answers = [task.value for task in first + repeats] + list(last.values())
+    assert set(runs.values()) == {1}
+    answers = [*(task.value for task in tasks), *last.values()]
     assert any(answer.error is None for answer in answers)
+    ran = {key.partition("/")[0] for key in runs}
     for answer in answers:
-        if answer.ran is Ran.NO:
-            assert not runs[answer.request_id]
-        if answer.error is None:
-            assert runs[answer.request_id]
-    for request_id in moved:
-        assert last[request_id].ran is not Ran.NO
+        assert answer.error is not None or answer.request_id in ran
+        assert answer.ran is not Ran.NO or answer.request_id not in ran
+    for name in IDS:
+        if table.claim_owners[find_partition(name)].owner == victim:
+            assert last[name].ran is not Ran.NO
