Do not count a connection that was never opened as kept

Cause: a dispatch that was refused before the send gave the gate a kept connection, so that the expected wait left out the cost of a new one.

Conclusion: such outcomes say that no connection can be used again.

--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -293,7 +293,7 @@
 
 
 def _build_unsent(kind: ErrorKind, message: str) -> EndpointOutcome:
-    return EndpointOutcome(kind, message, Ran.NO, None, None, None, 0.0)
+    return EndpointOutcome(kind, message, Ran.NO, None, None, None, 0.0, closed=True)
 
 
 def _build_not_owner(request: SubRequest) -> SubReply:
