Tick gates without work less often

Cause: ticks of 26 gates at 50 per second took 1.5% of a core, of 2.6% that control may take (11 to 12 us per gate, three runs of 5 times 20,000).

Ruled out: longer ticks for all, since waiting entries are checked at least every 50 ms.

Conclusion: gates without work tick 10 times per second; the saving is calculated from the cost per tick, not measured.

--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -31,6 +31,8 @@
 from persimmonspur.model.outcome import EndpointOutcome
 
 TICK_MS = 20.0
+# Ticks of gates without work take 1.5% of a core at 26 gates and 50 per second.
+IDLE_TICKS = 5
 STATUS_TICKS = 10
 STATES = ("cold", "warming", "warm", "draining", "out", "ejected")
 PROBE_TIMEOUT_MS = 1_000.0
@@ -192,13 +194,19 @@
         while True:
             gevent.sleep(TICK_MS / 1000)
             ticks += 1
-            self._tick_all()
+            self._tick_all(idle=ticks % IDLE_TICKS == 0)
             if ticks % STATUS_TICKS == 0:
                 self._publish()
 
-    def _tick_all(self) -> None:
+    def _tick_all(self, *, idle: bool = True) -> None:
+        """Let the gates do what is due.
+
+        :param idle: whether gates without work are included.
+        """
         now_ms = self._instance.clock.now_ms()
         for name, gate in list(self._gates.items()):
+            if not idle and not gate.busy:
+                continue
             usable_until_ms = self._instance.cell.usable_until(name, now_ms)
             self._execute(gate, gate.extend(usable_until_ms, now_ms))
             self._execute(gate, gate.tick(now_ms))
