Close gaps that removed protections showed in the tests

Removing a protection at a time showed: nothing held a falling stored version end to end, the watchers' return after an outage, the two rules for epochs apart from each other, or the method of writes.

--- a/src/persimmonspur/standins/objectapi.py
+++ b/src/persimmonspur/standins/objectapi.py
@@ -194,6 +194,9 @@
         key = path[len("/objects/") :]
         if method == "GET":
             return self._read(key, start_response)
+        if method != "POST":
+            # Client libraries repeat other methods by themselves.
+            return respond_json(start_response, 404, {"message": f"no method {method}"})
         return self._write(key, body, environ, start_response)
 
     def _is_down(self, client: str) -> bool:
--- a/tests/adapters/test_objectapi.py
+++ b/tests/adapters/test_objectapi.py
@@ -1,8 +1,11 @@
+from http.client import HTTPException
+
 import gevent
 import pytest
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from persimmonspur.adapters.http import connect_client
 from persimmonspur.adapters.objectapi import CONNECTIONS, HttpObjectApi
 from persimmonspur.clock import ManualClock
 from persimmonspur.errors import ErrorKind
@@ -43,6 +46,17 @@
     assert standin.counts.writes == (0 if fault == "cut_before" else 1)
 
 
+def test_the_http_library_does_not_repeat_a_post(standin):
+    # Everything that runs at most once relies on this.
+    client = connect_client(standin.address, 4, 2_000)
+    client.get("/objects/key").read()
+    standin.faults.cut_after = 1
+    with pytest.raises(HTTPException):
+        client.post("/objects/key", body=b"one", headers={"x-expected-version": "0"})
+    assert standin.counts.writes == 1
+    client.close()
+
+
 def test_a_cut_read_is_not_repeated_by_the_library(standin, api):
     # Every call counts towards the rates of the object API.
     standin.faults.cut_before = 5
--- a/tests/daemon/controllers/test_configuration_spread.py
+++ b/tests/daemon/controllers/test_configuration_spread.py
@@ -157,10 +157,22 @@
     standin.faults.down = True
     wait_until(lambda: all(events.STORE_FAILED in peer.recorded for peer in list_watchers(cell)))
     standin.faults.down = False
+    wait_until(lambda: standin.counts.waiting == 2)
     publish(standin, SECOND)
     wait_version(cell, 2)
 
 
+def test_a_stored_version_that_falls_is_not_taken(standin, cell):
+    former = standin.find(ROOT_KEY)
+    publish(standin, SECOND)
+    wait_version(cell, 2)
+    wait_until(lambda: standin.counts.waiting == 2)
+    watches = standin.counts.watches
+    standin.store(ROOT_KEY, former)
+    wait_until(lambda: standin.counts.watches >= watches + 2)
+    assert all(peer.configured == [FIRST, SECOND] for peer in cell.values())
+
+
 def test_a_damaged_root_keeps_the_present_configuration(standin, cell):
     standin.store(ROOT_KEY, b"damaged")
     wait_until(
