--- a/src/persimmonspur/load/experiment.py
+++ b/src/persimmonspur/load/experiment.py
@@ -28,6 +28,7 @@
     GeneratorRecord,
     RunRecord,
     check_once,
+    list_calls,
     merge_flows,
     summarise_endpoints,
 )
@@ -155,7 +156,7 @@
         summarise_endpoints(counts, slots),
         check_once(labels, counts),
         max(record.cpu_share for record in records),
-        post_json(processes.object_api, "/counts", {}),
+        list_calls(post_json(processes.object_api, "/counts", {})),
         round(capacity, 2),
     )
 
