End the stand-ins when a deployment's start is interrupted

Stand-ins run in process groups of their own, so Ctrl-C reaches only the tool. Between their start and that of the first daemon nothing kept track of them: an interrupt left the object API and the searchers running. They are now recorded before their first line is read.

--- a/src/persimmonspur/load/processes.py
+++ b/src/persimmonspur/load/processes.py
@@ -62,6 +62,23 @@
         """Return the caller addresses of all daemons."""
         return [daemon.caller_address for daemon in self.daemons.values()]
 
+    def start_standins(self, snapshots: tuple[str, ...]) -> None:
+        """Start the object API and the searchers of every failure domain.
+
+        :param snapshots: what every searcher holds, as ``epoch.version``.
+        """
+        self.object_api = self._launch_standin(["objectapi"], "objectapi")["address"]
+        addresses: dict[str, str] = {}
+        for index, domain in enumerate(self.deployment.failure_domains):
+            specs = build_specs(self.configuration, domain, list(snapshots))
+            path = self.directory / f"searchers-{domain}.json"
+            path.write_bytes(msgspec.json.encode(specs))
+            arguments = ["searchers", "--specs", str(path), "--seed", str(index + 1)]
+            document = self._launch_standin(arguments, f"searchers-{domain}")
+            addresses.update(document["endpoints"])
+            self.controls[domain] = document["control"]
+        self.configuration = build_configuration(self.deployment, addresses)
+
     def start_daemon(self, name: str, failure_domain: str) -> Daemon:
         """Start a daemon on free ports."""
         caller_address = find_free_address()
@@ -159,6 +176,20 @@
             _signal(process, signal.SIGTERM)
         _wait(self._standins)
 
+    def _launch_standin(self, arguments: list[str], name: str) -> Any:
+        with (self.directory / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "persimmonspur.standins.run", *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env=build_environment(),
+                process_group=0,
+            )
+        # Known before it answers, so that an interrupt meanwhile ends it too.
+        self._standins.append(process)
+        assert process.stdout is not None
+        return json.loads(process.stdout.readline())
+
     def _launch_daemon(self, name: str, arguments: list[str]) -> "subprocess.Popen[bytes]":
         with (self.directory / f"{name}.log").open("ab") as log:
             # A group of its own: Ctrl-C reaches only the tool, which then ends its processes.
@@ -191,29 +222,10 @@
     :param tier: name in :data:`TIERS`.
     :raises TimeoutError: if the daemons are not ready in time.
     """
-    directory = Path(tempfile.mkdtemp(prefix="persimmonspur-"))
-    standins = []
-    process, document = _launch_standin(["objectapi"], directory, "objectapi")
-    standins.append(process)
-    object_api = document["address"]
-    planned = build_configuration(deployment)
-    addresses: dict[str, str] = {}
-    controls: dict[str, str] = {}
-    for index, domain in enumerate(deployment.failure_domains):
-        specs = build_specs(planned, domain, list(snapshots))
-        path = directory / f"searchers-{domain}.json"
-        path.write_bytes(msgspec.json.encode(specs))
-        arguments = ["searchers", "--specs", str(path), "--seed", str(index + 1)]
-        process, document = _launch_standin(arguments, directory, f"searchers-{domain}")
-        standins.append(process)
-        addresses.update(document["endpoints"])
-        controls[domain] = document["control"]
-    configuration = build_configuration(deployment, addresses)
-    store_configuration(object_api, configuration)
-    processes = Processes(
-        deployment, configuration, object_api, controls, tier, {}, directory, standins
-    )
+    processes = Processes(deployment, build_configuration(deployment), "", {}, tier)
     try:
+        processes.start_standins(snapshots)
+        store_configuration(processes.object_api, processes.configuration)
         TIERS.get(tier)(processes, instances)
         processes.wait_ready()
     except BaseException:
@@ -314,21 +326,6 @@
         client.close()
 
 
-def _launch_standin(
-    arguments: list[str], directory: Path, name: str
-) -> "tuple[subprocess.Popen[bytes], Any]":
-    with (directory / f"{name}.log").open("ab") as log:
-        process = subprocess.Popen(
-            [sys.executable, "-m", "persimmonspur.standins.run", *arguments],
-            stdout=subprocess.PIPE,
-            stderr=log,
-            env=build_environment(),
-            process_group=0,
-        )
-    assert process.stdout is not None
-    return process, json.loads(process.stdout.readline())
-
-
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
--- a/tests/load/test_processes.py
+++ b/tests/load/test_processes.py
@@ -1,3 +1,4 @@
+import subprocess
 import sys
 
 import pytest
@@ -26,3 +27,27 @@
     daemon.process.wait()
     with pytest.raises(TimeoutError, match="cannot listen"):
         deployment.wait_ready(timeout_s=30)
+
+
+def test_an_interrupt_while_searchers_start_leaves_no_process(monkeypatch):
+    # The stand-ins are in process groups of their own, so nobody else would end them.
+    started = []
+
+    class RecordedPopen(subprocess.Popen):
+        def __init__(self, *arguments, **options):
+            super().__init__(*arguments, **options)
+            started.append(self)
+
+    def interrupt(address, configuration):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(subprocess, "Popen", RecordedPopen)
+    monkeypatch.setattr(processes, "store_configuration", interrupt)
+    with pytest.raises(KeyboardInterrupt):
+        processes.start_deployment(DEPLOYMENTS["ulaanbaatar"], 1)
+    running = [process for process in started if process.poll() is None]
+    for process in running:
+        process.kill()
+        process.wait()
+    assert len(started) == 4
+    assert not running
