--- a/src/persimmonspur/load/report.py
+++ b/src/persimmonspur/load/report.py
@@ -84,7 +84,8 @@
         f"Absolute times and rates are those of this one machine ({record.machine}), on which "
         "callers, entry instances and searchers share the processors. Compare ratios only: each "
         "is the policy over the naive tier in the same run and seed. `a [b, c]` is the mean over "
-        "the seeds with the lowest and the highest. Latency counts from the intended send time.",
+        "the seeds with the lowest and the highest. Latency counts from the intended send time and "
+        "covers errors too, so a tier that fails fast looks fast: read it with the errors.",
         "",
         *_render_targets(record),
         *[f"![{name}]({name})" for name in pictures],
