Test what mutations of the request path left green

Removing the preference for another failure domain, the forgetting of periods, the order of bulk queries and their early rejection turned no test red; each has a test now, and removing it again turns that test red.

--- a/src/persimmonspur/core/requests/snapshots.py
+++ b/src/persimmonspur/core/requests/snapshots.py
@@ -97,13 +97,14 @@
     return PinnedSnapshot(snapshot, shards, servable, replicated, holders)
 
 
-def _rank(pinned: PinnedSnapshot) -> tuple[bool, float, float, SnapshotId]:
+def _rank(pinned: PinnedSnapshot) -> tuple[float, float, SnapshotId]:
+    # A snapshot that enough endpoints hold everywhere has the highest shares.
     # Shares and not units are compared, since with a key the shards of two
     # epochs that hold it may differ in size.
     units = sum(shard.units for shard in pinned.shards) or 1
     servable = pinned.servable_units / units
     replicated = pinned.replicated_units / units
-    return (pinned.replicated_units == units, servable, replicated, pinned.snapshot)
+    return (servable, replicated, pinned.snapshot)
 
 
 def _find_holders(
--- a/tests/core/requests/test_query_coordination.py
+++ b/tests/core/requests/test_query_coordination.py
@@ -20,8 +20,8 @@
 class Bench:
     """One query of one shard with three replicas, whose budget is full."""
 
-    def __init__(self, shards=1, priority=0, budget=10_000, **options):
-        self.context = build_context(build_service(shards))
+    def __init__(self, shards=1, priority=0, budget=10_000, replicas=3, seed=1, **options):
+        self.context = build_context(build_service(shards, replicas), seed=seed)
         self.context.budgets.get("desk").add_first(budget)
         self.view = self.context.view
         self.now_ms = 0.0
@@ -90,6 +90,15 @@
     assert bench.cancelled == [first.request.id]
 
 
+def test_a_hedge_prefers_another_failure_domain():
+    for seed in range(20):
+        bench = Bench(replicas=6, seed=seed).start()
+        bench.wake()
+        names = [action.request.endpoint for action in bench.sent]
+        domains = [bench.view.endpoints[name].endpoint.failure_domain for name in names]
+        assert len(names) == 2 and domains[0] != domains[1]
+
+
 def test_the_hedge_delay_is_the_95th_percentile():
     bench = Bench().start()
     assert bench.wake_at_ms == bench.context.latencies.get("desk", "counter", 4.0).p95_ms
@@ -274,6 +283,46 @@
     assert len(Bench(shards=24).start().sent) == 24
 
 
+def test_bulk_queries_send_in_order_of_arrival():
+    first = Bench(shards=24, priority=2).start()
+    second = Bench(priority=2)
+    second.context = first.context
+    second.begin(2)
+    second.start()
+    # The first holds back eight sub-requests, so that the second waits in spite of free slots.
+    assert (len(first.sent), len(second.sent)) == (16, 0)
+    for index in range(8):
+        first.reply(index)
+    second.wake()
+    assert (len(first.sent), len(second.sent)) == (24, 16)
+
+
+def test_a_bulk_query_is_rejected_if_those_that_wait_will_not_be_done_in_time():
+    bench = Bench(priority=2)
+    load = bench.context.limits.get("desk", "batch")
+    for _ in range(20):
+        load.hold(load)
+    assert load.estimate_wait(500.0) == 0.0
+    for _ in range(50):
+        load.outstanding += 1
+        load.settle()
+    # 50 sub-requests in 500 ms, and 20 wait.
+    assert load.estimate_wait(1_000.0) == pytest.approx(200.0)
+    bench.now_ms = 1_000.0
+    bench.begin(2)
+    bench.start()
+    assert bench.answer.failure.kind is ErrorKind.OVERLOADED and bench.sent == []
+
+
+def test_the_rate_of_a_bulk_class_is_not_learned_from_low_demand():
+    load = Bench().context.limits.get("desk", "batch")
+    load.estimate_wait(500.0)
+    load.outstanding += 1
+    load.settle()
+    load.hold(load)
+    assert load.estimate_wait(1_000.0) == 0.0
+
+
 def test_the_query_restarts_once_if_its_snapshot_is_lost():
     newer = SnapshotId(1, 2)
     bench = Bench(shards=2).start()
--- a/tests/core/routing/test_replica_choice.py
+++ b/tests/core/routing/test_replica_choice.py
@@ -188,6 +188,8 @@
     assert len(others) == 5
     detector.observe_success("e", now_ms + 40_000)
     assert detector.observe_failure("e", now_ms + 40_000) == 0.0
+    assert detector.observe_failure("e", now_ms + 40_000) == 0.0
+    assert detector.observe_failure("e", now_ms + 40_000) <= now_ms + 40_600
 
 
 def test_a_success_interrupts_consecutive_failures():
