--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -16,14 +16,9 @@
 )
 from persimmonspur.core.requests.context import CoordinationContext
 from persimmonspur.core.requests.progress import Attempt, ShardProgress
+from persimmonspur.core.requests.replicas import ReplicaChoice
 from persimmonspur.core.requests.snapshots import PinnedSnapshot
-from persimmonspur.core.routing.choice import (
-    CHOICE_POLICIES,
-    estimate_wait,
-    find_usable,
-    restrict_first,
-    restrict_redirected,
-)
+from persimmonspur.core.routing.choice import estimate_wait
 from persimmonspur.core.routing.view import EndpointView
 from persimmonspur.errors import ErrorKind, Failure, Ran
 from persimmonspur.model.messages import SubReply
@@ -74,7 +69,7 @@
         )
         self._service = self._attempts.service
         self._budget = self._attempts.budget
-        self._choose = CHOICE_POLICIES.get(context.policy)
+        self._replicas = ReplicaChoice(context, self._service, self._conclude_ms)
         # Hedges and retries may run a request twice.
         self._extras = query.repeatable and context.extras
         self._shards: dict[str, ShardProgress] = {}
@@ -148,7 +143,7 @@
         for shard in pinned.shards:
             progress = self._shards[shard.name] = ShardProgress(shard.name)
             holders = pinned.holders.get(shard.name, [])
-            view = self._choose_first(progress, holders)
+            view = self._replicas.choose_first(progress.name, holders)
             if view is None:
                 progress.dead = True
                 continue
@@ -173,18 +168,6 @@
         self._budget.add_first(attempts.sent - sent)
         return self._advance(now_ms, actions)
 
-    def _choose_first(
-        self, progress: ShardProgress, usable: list[EndpointView]
-    ) -> EndpointView | None:
-        context = self._context
-        for view in usable:
-            if not view.warm or view.ejected_until_ms > context.choice.now_ms:
-                break
-        else:
-            return self._choose(usable, context.choice)
-        replicas = len(context.view.list_replicas(self._service.name, progress.name))
-        return self._choose(restrict_first(usable, replicas, context.choice), context.choice)
-
     def _measure_excess(self, targets: list[_Target], now_ms: float) -> float:
         """Return by how much the slowest shard's expected wait exceeds what is allowed."""
         load = self._attempts.load
@@ -210,9 +193,8 @@
         for progress in list(self._shards.values()):
             if not progress.waiting:
                 continue
-            replicas = context.view.list_replicas(self._service.name, progress.name)
-            usable = find_usable(replicas, self.pinned.snapshot, ())
-            view = self._choose_first(progress, usable)
+            usable = self._replicas.list_usable(progress.name, self.pinned.snapshot)
+            view = self._replicas.choose_first(progress.name, usable)
             if view is None:
                 self._attempts.release(progress)
                 self._kill(progress, now_ms, actions)
@@ -246,7 +228,7 @@
         """Act on a shard whose last attempt failed."""
         assert self.pinned is not None
         if reply.error is not None and reply.ran is Ran.NO:
-            view = self._choose_placement(progress, now_ms)
+            view = self._replicas.choose_placement(progress, self.pinned.snapshot, now_ms)
             if view is not None:
                 kind = SubRequestKind.PLACEMENT
                 self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
@@ -262,7 +244,7 @@
         """Send a shard's retry, or owe it until the budget allows it."""
         assert self.pinned is not None
         progress.owed = False
-        view = self._choose_other(progress, now_ms)
+        view = self._replicas.choose_other(progress, self.pinned.snapshot, now_ms)
         if view is None or self._budget.saturated:
             self._kill(progress, now_ms, actions)
             return
@@ -278,46 +260,6 @@
             if progress.owed:
                 self._retry(progress, now_ms, actions)
 
-    def _choose_other(
-        self, progress: ShardProgress, now_ms: float, than: Attempt | None = None
-    ) -> EndpointView | None:
-        """Choose an untried warm replica that can answer in time.
-
-        :param than: choose another owner than this attempt's, and another failure
-            domain if possible.
-        """
-        assert self.pinned is not None
-        context = self._context
-        context.choice.now_ms = now_ms
-        replicas = context.view.list_replicas(self._service.name, progress.name)
-        usable = find_usable(replicas, self.pinned.snapshot, progress.tried)
-        usable = restrict_redirected(usable, len(replicas), now_ms)
-        remaining_ms = self._conclude_ms - now_ms
-        usable = [view for view in usable if estimate_wait(view, now_ms) < remaining_ms]
-        if than is not None:
-            usable = [view for view in usable if view.owner_view.name != than.owner.name]
-            domain = than.view.endpoint.failure_domain
-            distant = [view for view in usable if view.endpoint.failure_domain != domain]
-            usable = distant or usable
-        return self._choose(usable, context.choice)
-
-    def _choose_placement(self, progress: ShardProgress, now_ms: float) -> EndpointView | None:
-        """Choose an untried replica for a sub-request that certainly did not run.
-
-        It is not extra work, so a warming replica takes it if no warm one is left:
-        otherwise a failure domain that goes out while others warm up costs answers.
-        """
-        assert self.pinned is not None
-        warm = self._choose_other(progress, now_ms)
-        if warm is not None:
-            return warm
-        context = self._context
-        replicas = context.view.list_replicas(self._service.name, progress.name)
-        usable = find_usable(replicas, self.pinned.snapshot, progress.tried)
-        remaining_ms = self._conclude_ms - now_ms
-        usable = [view for view in usable if estimate_wait(view, now_ms) < remaining_ms]
-        return self._choose(restrict_first(usable, len(replicas), context.choice), context.choice)
-
     def _check(self, attempt: Attempt, now_ms: float, actions: list[CoordinationAction]) -> None:
         """Act on an attempt whose reply is late."""
         assert self.pinned is not None
@@ -333,7 +275,7 @@
             return
         if not self._extras or not all(other.overdue for other in attempt.progress.attempts):
             return
-        view = self._choose_other(attempt.progress, now_ms, attempt)
+        view = self._replicas.choose_other(attempt.progress, self.pinned.snapshot, now_ms, attempt)
         if view is None:
             attempt.due_ms = float("inf")
         elif self._budget.take_retry():
@@ -346,7 +288,9 @@
         attempt.due_ms = attempt.sent_ms + self._attempts.unanswered_ms
         view = None
         if self._extras and len(attempt.progress.attempts) == 1:
-            view = self._choose_other(attempt.progress, now_ms, attempt)
+            view = self._replicas.choose_other(
+                attempt.progress, self.pinned.snapshot, now_ms, attempt
+            )
         if view is None:
             attempt.hedgeable = False
         elif self._budget.take_hedge():
@@ -385,11 +329,9 @@
             return None
         if now_ms + self._attempts.estimate.p95_ms > self._conclude_ms:
             return None
-        view = self._context.view
-        replicas = view.list_replicas(self._service.name, progress.name)
-        if find_usable(replicas, self.pinned.snapshot, ()):
+        if self._replicas.list_usable(progress.name, self.pinned.snapshot):
             return None
-        newer = self._context.pins.pin(view, self._service, self.query.key)
+        newer = self._context.pins.pin(self._context.view, self._service, self.query.key)
         if newer is None or not newer.complete or newer.snapshot <= self.pinned.snapshot:
             return None
         return newer
--- /dev/null
+++ b/src/persimmonspur/core/requests/replicas.py
@@ -0,0 +1,88 @@
+"""Chooses the replicas of one query's sub-requests."""
+
+from persimmonspur.core.requests.context import CoordinationContext
+from persimmonspur.core.requests.progress import Attempt, ShardProgress
+from persimmonspur.core.routing.choice import (
+    CHOICE_POLICIES,
+    estimate_wait,
+    find_usable,
+    restrict_first,
+    restrict_redirected,
+)
+from persimmonspur.core.routing.view import EndpointView
+from persimmonspur.model.configuration import Service
+from persimmonspur.model.query import SnapshotId
+
+
+class ReplicaChoice:
+    """Applies the choice policy to the replicas that may get a sub-request."""
+
+    def __init__(self, context: CoordinationContext, service: Service, conclude_ms: float) -> None:
+        """Prepare the choices of a query.
+
+        :param conclude_ms: when the query is answered at the latest.
+        """
+        self._context = context
+        self._service = service
+        self._conclude_ms = conclude_ms
+        self._choose = CHOICE_POLICIES.get(context.policy)
+
+    def list_usable(self, shard: str, snapshot: SnapshotId) -> list[EndpointView]:
+        """Return the replicas of a shard that can serve a snapshot now."""
+        replicas = self._context.view.list_replicas(self._service.name, shard)
+        return find_usable(replicas, snapshot, ())
+
+    def choose_first(self, shard: str, usable: list[EndpointView]) -> EndpointView | None:
+        """Choose among the usable replicas of a shard for a first sub-request."""
+        choice = self._context.choice
+        for view in usable:
+            if not view.warm or view.ejected_until_ms > choice.now_ms:
+                break
+        else:
+            return self._choose(usable, choice)
+        replicas = len(self._context.view.list_replicas(self._service.name, shard))
+        return self._choose(restrict_first(usable, replicas, choice), choice)
+
+    def choose_other(
+        self,
+        progress: ShardProgress,
+        snapshot: SnapshotId,
+        now_ms: float,
+        than: Attempt | None = None,
+    ) -> EndpointView | None:
+        """Choose an untried warm replica that can answer in time.
+
+        :param than: choose another owner than this attempt's, and another failure
+            domain if possible.
+        """
+        choice = self._context.choice
+        choice.now_ms = now_ms
+        replicas = self._context.view.list_replicas(self._service.name, progress.name)
+        usable = find_usable(replicas, snapshot, progress.tried)
+        usable = restrict_redirected(usable, len(replicas), now_ms)
+        remaining_ms = self._conclude_ms - now_ms
+        usable = [view for view in usable if estimate_wait(view, now_ms) < remaining_ms]
+        if than is not None:
+            usable = [view for view in usable if view.owner_view.name != than.owner.name]
+            domain = than.view.endpoint.failure_domain
+            distant = [view for view in usable if view.endpoint.failure_domain != domain]
+            usable = distant or usable
+        return self._choose(usable, choice)
+
+    def choose_placement(
+        self, progress: ShardProgress, snapshot: SnapshotId, now_ms: float
+    ) -> EndpointView | None:
+        """Choose an untried replica for a sub-request that certainly did not run.
+
+        It is not extra work, so a warming replica takes it if no warm one is left:
+        otherwise a failure domain that goes out while others warm up costs answers.
+        """
+        warm = self.choose_other(progress, snapshot, now_ms)
+        if warm is not None:
+            return warm
+        choice = self._context.choice
+        replicas = self._context.view.list_replicas(self._service.name, progress.name)
+        usable = find_usable(replicas, snapshot, progress.tried)
+        remaining_ms = self._conclude_ms - now_ms
+        usable = [view for view in usable if estimate_wait(view, now_ms) < remaining_ms]
+        return self._choose(restrict_first(usable, len(replicas), choice), choice)
