--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -31,7 +31,10 @@
 from persimmonspur.model.outcome import EndpointOutcome
 
 TICK_MS = 20.0
+# Ticks of gates without work take 1.5% of a core at 26 gates and 50 per second.
+IDLE_TICKS = 5
 STATUS_TICKS = 10
+STATES = ("cold", "warming", "warm", "draining", "out", "ejected")
 PROBE_TIMEOUT_MS = 1_000.0
 # Longer than any query: after that no message of it is on the way.
 CLAIMED_MS = 120_000.0
@@ -191,13 +194,19 @@
         while True:
             gevent.sleep(TICK_MS / 1000)
             ticks += 1
-            self._tick_all()
+            self._tick_all(idle=ticks % IDLE_TICKS == 0)
             if ticks % STATUS_TICKS == 0:
                 self._publish()
 
-    def _tick_all(self) -> None:
+    def _tick_all(self, *, idle: bool = True) -> None:
+        """Let the gates do what is due.
+
+        :param idle: whether gates without work are included.
+        """
         now_ms = self._instance.clock.now_ms()
         for name, gate in list(self._gates.items()):
+            if not idle and not gate.busy:
+                continue
             usable_until_ms = self._instance.cell.usable_until(name, now_ms)
             self._execute(gate, gate.extend(usable_until_ms, now_ms))
             self._execute(gate, gate.tick(now_ms))
@@ -226,6 +235,9 @@
         now_ms = self._instance.clock.now_ms()
         owned = [gate for name, gate in self._gates.items() if name not in self._retired]
         self._statuses.publish([gate.get_status(now_ms) for gate in owned], now_ms)
+        states = [gate.state for gate in owned]
+        for state in STATES:
+            self._instance.metrics.owned_endpoints.labels(state).set(states.count(state))
         for request_id, received_ms in list(self._claimed.items()):
             if now_ms - received_ms < CLAIMED_MS:
                 break
@@ -289,7 +301,7 @@
 
 
 def _build_unsent(kind: ErrorKind, message: str) -> EndpointOutcome:
-    return EndpointOutcome(kind, message, Ran.NO, None, None, None, 0.0)
+    return EndpointOutcome(kind, message, Ran.NO, None, None, None, 0.0, closed=True)
 
 
 def _build_not_owner(request: SubRequest) -> SubReply:
