--- a/src/persimmonspur/core/claims/partition.py
+++ b/src/persimmonspur/core/claims/partition.py
@@ -149,7 +149,7 @@
             message = f"epoch {epoch} is above table version {table_version}"
             return Refused(ErrorKind.NOT_READY, message, Ran.UNKNOWN, retry=True)
         if epoch < self.floor:
-            message = f"epoch {epoch} is below {self.floor}, whose records are complete"
+            message = f"epoch {epoch} is below {self.floor}; it may have run earlier"
             return Refused(ErrorKind.STALE_EPOCH, message, Ran.UNKNOWN)
         if len(self) >= MAX_RECORDS:
             return self._reject(request_id, now_ms)
