Try replicas again that rejected a sub-request while they change hands

Cause: a query ended as incomplete as soon as every replica of a shard had rejected its sub-request once, although budgets move within some hundred milliseconds and the deadline may be seconds away.

Rejections that pass (not the owner, draining, unavailable, connection refused) now put the shard off for 10 ms, doubling up to 160 ms. Ruled out: the same for overload, whose rejections must reach the caller early, and for failures with an unknown outcome, which are extra work under the budget.

test_each_certain_rejection_leads_to_one_placement used 'not_owner' for "nothing more can come"; it keeps its assertions with a rejection that does not pass.

Conclusion: such a query is answered in full if a replica takes it in time.

--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -15,6 +15,7 @@
     Attempts,
 )
 from persimmonspur.core.requests.context import CoordinationContext
+from persimmonspur.core.requests.postponement import Postponements, passes
 from persimmonspur.core.requests.progress import Attempt, ShardProgress
 from persimmonspur.core.requests.replicas import ReplicaChoice
 from persimmonspur.core.requests.snapshots import PinnedSnapshot
@@ -74,6 +75,7 @@
         self._extras = query.repeatable and context.extras
         self._shards: dict[str, ShardProgress] = {}
         self._open = 0
+        self._postponed = Postponements()
         # Whether retries wait for the budget.
         self._owing = False
         self._wake_ms = float("inf")
@@ -107,7 +109,7 @@
             self._replace(progress, reply, now_ms, actions)
         if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
-        if not actions and self._open and not self._owing:
+        if not actions and self._open and not self._owing and not self._postponed:
             return actions
         return self._advance(now_ms, actions)
 
@@ -132,6 +134,8 @@
             self._retry_owed(now_ms, actions)
         if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
+        if self._postponed:
+            self._place_postponed(now_ms, actions)
         self._attempts.update_due()
         return self._advance(now_ms, actions)
 
@@ -233,11 +237,29 @@
                 kind = SubRequestKind.PLACEMENT
                 self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
                 return
+            if passes(reply) and self._postpone(progress, now_ms):
+                return
         elif self._extras:
             self._retry(progress, now_ms, actions)
             return
         self._kill(progress, now_ms, actions)
 
+    def _postpone(self, progress: ShardProgress, now_ms: float) -> bool:
+        """Try the replicas of a shard again soon, unless its snapshot was lost."""
+        if self._find_newer(progress, now_ms) is not None:
+            return False
+        return self._postponed.add(progress, now_ms, self._conclude_ms)
+
+    def _place_postponed(self, now_ms: float, actions: list[CoordinationAction]) -> None:
+        assert self.pinned is not None
+        for progress in self._postponed.take_due(now_ms):
+            view = self._replicas.choose_placement(progress, self.pinned.snapshot, now_ms)
+            if view is not None:
+                kind = SubRequestKind.PLACEMENT
+                self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
+            elif not self._postpone(progress, now_ms):
+                self._kill(progress, now_ms, actions)
+
     def _retry(
         self, progress: ShardProgress, now_ms: float, actions: list[CoordinationAction]
     ) -> None:
@@ -317,6 +339,7 @@
         actions.extend(self._begin(newer, now_ms))
 
     def _drop_pending(self) -> None:
+        self._postponed.clear()
         for progress in self._shards.values():
             progress.owed = False
             if progress.waiting:
@@ -345,7 +368,7 @@
         if self._open <= 0:
             actions.extend(self._conclude(now_ms))
             return actions
-        wake_ms = min(self._conclude_ms, self._attempts.due_ms)
+        wake_ms = min(self._conclude_ms, self._attempts.due_ms, self._postponed.get_due_ms())
         if self._owing or self._attempts.held:
             wake_ms = min(wake_ms, now_ms + self._attempts.get_recheck_ms())
         if wake_ms < self._wake_ms:
--- a/tests/core/requests/test_query_coordination.py
+++ b/tests/core/requests/test_query_coordination.py
@@ -152,7 +152,7 @@
 def test_each_certain_rejection_leads_to_one_placement(repeatable):
     bench = Bench(repeatable=repeatable).start()
     for _ in range(3):
-        bench.reply(error=ErrorKind.NOT_OWNER, ran=Ran.NO)
+        bench.reply(error=ErrorKind.CANCELLED, ran=Ran.NO)
     assert bench.list_kinds() == [
         SubRequestKind.FIRST,
         SubRequestKind.PLACEMENT,
@@ -166,6 +166,32 @@
     assert bench.answer.missing_shards == ("s0",)
 
 
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_shard_whose_replicas_all_change_hands_is_tried_again_in_time(repeatable):
+    bench = Bench(repeatable=repeatable).start()
+    for _ in range(3):
+        bench.reply(error=ErrorKind.NOT_OWNER, ran=Ran.NO)
+    assert bench.answer is None
+    assert bench.wake_at_ms < 20.0
+    bench.wake()
+    assert bench.list_kinds()[3:] == [SubRequestKind.PLACEMENT]
+    bench.reply()
+    assert bench.answer.records == RECORDS
+
+
+def test_rejections_that_do_not_pass_end_the_query_before_its_deadline():
+    bench = Bench().start()
+    while bench.answer is None:
+        if bench.run._attempts.running:
+            bench.reply(error=ErrorKind.NOT_OWNER, ran=Ran.NO)
+        else:
+            bench.wake()
+    assert bench.now_ms < 100.0
+    assert (bench.answer.failure.kind, bench.answer.failure.ran) == (ErrorKind.INCOMPLETE, Ran.NO)
+    # Delays double, so that a long outage costs few messages.
+    assert len(bench.sent) <= 12
+
+
 def test_a_placement_prefers_warm_replicas_to_warming_ones():
     for seed in range(20):
         bench = Bench(budget=0)
