Send the last hand-over messages before the daemon exits

Cause: the transport was closed right after the last Release, and nng drops what it has not sent yet; after a second SIGTERM the records of claim partitions were not waited for either. Also sets the gauge of peer bytes, which nothing filled, and dates the instance's own endpoint figures.

--- a/src/persimmonspur/daemon/controllers/statuses.py
+++ b/src/persimmonspur/daemon/controllers/statuses.py
@@ -33,7 +33,7 @@
         """Take the present statuses and send those that are due."""
         due = []
         for status in statuses:
-            self._instance.view.observe_status(status)
+            self._instance.view.observe_status(status, None, now_ms)
             known = self._published.get(status.endpoint)
             if known is None:
                 repeats = [now_ms + delay_ms for delay_ms in REPEAT_MS]
--- a/src/persimmonspur/daemon/run.py
+++ b/src/persimmonspur/daemon/run.py
@@ -39,6 +39,7 @@
 LEAVE_MARGIN_MS = 1_000.0
 CONNECTION_WAIT_MS = 1_000.0
 POLL_MS = 10.0
+LINGER_MS = 100.0
 
 # Imported so that their parts register themselves.
 _REGISTERED = (cell, claims, configuration, endpoints, queries, admission, claim_filter, standard)
@@ -135,6 +136,9 @@
     for controller in controllers.values():
         controller.start()
     gevent.spawn(_measure_stalls, instance)
+    peer_bytes = instance.metrics.peer_bytes
+    peer_bytes.labels("sent").set_function(lambda: transport.sent_bytes)
+    peer_bytes.labels("received").set_function(lambda: transport.received_bytes)
     instance.phase = Phase.SERVING
     instance.timeline.record(
         events.STARTED, instance=settings.instance, address=settings.caller_address
@@ -174,16 +178,23 @@
 def stop(instance: Instance, server: NoDelayServer, surface: HttpSurface) -> None:
     """Reject new queries, finish those that run, and close everything."""
     instance.phase = Phase.STOPPING
-    while surface.unfinished or instance.queries.running or instance.endpoints.busy:
+    while surface.unfinished or _is_busy(instance):
         gevent.sleep(POLL_MS / 1000)
     server.stop()
     _wait_for_connections(instance, server, surface)
     for controller in instance.controllers.values():
         controller.stop()
+    # nng drops what it has not sent when a socket closes; the last messages
+    # hand budgets and records over.
+    gevent.sleep(LINGER_MS / 1000)
     instance.transport.close()
     instance.timeline.record(events.STOPPED, instance=instance.settings.instance)
 
 
+def _is_busy(instance: Instance) -> bool:
+    return bool(instance.queries.running) or instance.endpoints.busy or instance.claims.busy
+
+
 def _wait_for_connections(instance: Instance, server: NoDelayServer, surface: HttpSurface) -> None:
     """Let callers with open connections read a rejection instead of a broken connection."""
     deadline_ms = instance.clock.now_ms() + CONNECTION_WAIT_MS
