--- a/src/persimmonspur/cli/progress.py
+++ b/src/persimmonspur/cli/progress.py
@@ -2,7 +2,6 @@
 
 import json
 from collections.abc import Callable, Sequence
-from http.client import HTTPException
 
 import gevent
 import msgspec
@@ -10,7 +9,7 @@
 from expression import Error, Ok, Result
 from gevent.pool import Pool
 
-from persimmonspur.adapters.http import connect_client
+from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.clock import Clock
 from persimmonspur.core.ownership.table import decode_table
 from persimmonspur.errors import ErrorKind, Failure
@@ -113,7 +112,7 @@
         with gevent.Timeout(ANSWER_MS / 1000):
             document = json.loads(bytes(client.get("/readyz").read()))
             return int(document["configuration_version"])
-    except (OSError, gevent.Timeout, ValueError, KeyError, RuntimeError, HTTPException):
+    except (*HTTP_ERRORS, gevent.Timeout, KeyError):
         return 0
     finally:
         client.close()
--- a/src/persimmonspur/core/configuration/holder.py
+++ b/src/persimmonspur/core/configuration/holder.py
@@ -5,6 +5,7 @@
 from persimmonspur.core.configuration.parts import (
     ROOT_KEY,
     ConfigurationRoot,
+    Record,
     assemble_configuration,
     compute_digest,
 )
@@ -25,6 +26,7 @@
         self.root: ConfigurationRoot | None = None
         self._configuration: Configuration | None = None
         self._parts: dict[str, bytes] = {}
+        self._decoded: dict[str, list[Record]] = {}
         self._pending: ConfigurationRoot | None = None
         self._pending_parts: dict[str, bytes] = {}
         self._rejected: ConfigurationRoot | None = None
@@ -91,7 +93,8 @@
         pending = self._pending
         if pending is None or self.list_missing():
             return Ok(None)
-        assembled = assemble_configuration(pending.parts, self._pending_parts)
+        decoded = dict(self._decoded)
+        assembled = assemble_configuration(pending.parts, self._pending_parts, decoded)
         parts, self._pending, self._pending_parts = self._pending_parts, None, {}
         if assembled.is_error():
             self._rejected = pending
@@ -99,5 +102,6 @@
             return Error(Failure.of(ErrorKind.INVALID_CONFIGURATION, message))
         self.root = pending
         self._parts = parts
+        self._decoded = {digest: decoded[digest] for digest in parts}
         self._configuration = assembled.ok
         return Ok(assembled.ok)
--- a/src/persimmonspur/core/configuration/parts.py
+++ b/src/persimmonspur/core/configuration/parts.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, MutableMapping
 
 import msgspec
 from attrs import frozen
@@ -202,24 +202,44 @@
 
 
 def assemble_configuration(
-    references: Iterable[PartReference], values: Mapping[str, bytes]
+    references: Iterable[PartReference],
+    values: Mapping[str, bytes],
+    decoded: MutableMapping[str, list[Record]] | None = None,
 ) -> Result[Configuration, str]:
     """Put a configuration together from all of its parts.
 
+    :param decoded: records by digest of parts that were verified and decoded before; gets
+        those of the others. Most parts stay the same in a change, and decoding all of
+        them would stall a daemon at the target scale.
     :returns: the configuration, or what is wrong with the parts.
     """
-    records: list[Record] = []
+    known = decoded if decoded is not None else {}
+    builder = _Builder()
     for reference in references:
-        value = values.get(reference.digest)
-        if value is None:
-            return Error(f"part {reference.name} ({reference.digest}) is missing")
-        if compute_digest(value) != reference.digest:
-            return Error(f"part {reference.name} ({reference.digest}) has other bytes")
-        try:
-            records.extend(msgspec.json.decode(value, type=list[Record]))
-        except msgspec.DecodeError as error:
-            return Error(f"part {reference.name} ({reference.digest}): {error}")
-    return _build(records)
+        if reference.digest not in known:
+            result = _decode_part(reference, values.get(reference.digest))
+            if result.is_error():
+                return Error(result.error)
+            known[reference.digest] = result.ok
+        for record in known[reference.digest]:
+            fault = builder.add(record)
+            if fault:
+                return Error(fault)
+    if not builder.deployment:
+        return Error("no part names the deployment")
+    return Ok(builder.build())
+
+
+def _decode_part(reference: PartReference, value: bytes | None) -> Result[list[Record], str]:
+    name = f"part {reference.name} ({reference.digest})"
+    if value is None:
+        return Error(f"{name} is missing")
+    if compute_digest(value) != reference.digest:
+        return Error(f"{name} has other bytes")
+    try:
+        return Ok(msgspec.json.decode(value, type=list[Record]))
+    except msgspec.DecodeError as error:
+        return Error(f"{name}: {error}")
 
 
 def _list_rest(configuration: Configuration) -> list[Record]:
@@ -267,17 +287,6 @@
     return b"[" + b",".join(items) + b"]"
 
 
-def _build(records: list[Record]) -> Result[Configuration, str]:
-    builder = _Builder()
-    for record in records:
-        fault = builder.add(record)
-        if fault:
-            return Error(fault)
-    if not builder.deployment:
-        return Error("no part names the deployment")
-    return Ok(builder.build())
-
-
 class _Builder:
     def __init__(self) -> None:
         self.deployment = ""
@@ -290,6 +299,10 @@
         ] = []
 
     def add(self, record: Record) -> str:
+        # Nearly all records are endpoints.
+        if isinstance(record, EndpointRecord) and self._services:
+            self._services[-1][2].append(record.value)
+            return ""
         match record:
             case DeploymentRecord():
                 self.deployment = record.name
@@ -333,12 +346,10 @@
     def _add_to_service(self, record: ShardMapRecord | ShardRecord | EndpointRecord) -> str:
         if not self._services:
             return "a record of a service comes before the service"
-        _, shard_maps, endpoints = self._services[-1]
+        _, shard_maps, _ = self._services[-1]
         match record:
             case ShardMapRecord():
                 shard_maps.append((record.epoch, []))
-            case EndpointRecord():
-                endpoints.append(record.value)
             case ShardRecord():
                 if not shard_maps:
                     return "a shard comes before its shard map"
--- a/src/persimmonspur/core/configuration/publication.py
+++ b/src/persimmonspur/core/configuration/publication.py
@@ -202,8 +202,8 @@
         if base.fault and self._expected is None:
             return _fail(
                 ErrorKind.INVALID_CONFIGURATION,
-                f"the stored configuration is unreadable ({base.fault}); to replace it, pass the"
-                " version that the instances show as the expected one",
+                f"the stored configuration is unreadable ({base.fault}); to replace it, expect its"
+                f" version ({f'version {base.version}' if base.root else 'see the instances'})",
             )
         if base.fault and base.root is None:
             # Versions must rise above what instances have, which the operator names.
--- a/tests/core/configuration/test_publication.py
+++ b/tests/core/configuration/test_publication.py
@@ -370,6 +370,19 @@
     assert store.objects[key] == (5, split.values[split.references[0].digest])
 
 
+def test_a_damaged_part_of_the_present_version_is_repaired_with_its_version():
+    store = Store()
+    publish(store, TARGETS[0])
+    key = decode_root(store.objects[ROOT_KEY][1]).parts[0].key
+    value = store.objects[key][1]
+    store.objects[key] = (1, b"damaged")
+    result = publish(store, TARGETS[0], "two")
+    assert result.failure.kind is ErrorKind.INVALID_CONFIGURATION
+    assert "(version 1)" in result.failure.message
+    assert publish(store, TARGETS[0], "three", expected=1) == Published(2, changed=True)
+    assert store.objects[key] == (2, value)
+
+
 def test_an_unreadable_root_is_replaced_only_with_the_version_of_the_instances():
     store = Store()
     store.objects[ROOT_KEY] = (7, b"damaged")
