--- a/src/persimmonspur/capacity/target.py
+++ b/src/persimmonspur/capacity/target.py
@@ -5,6 +5,9 @@
 from attrs import frozen
 
 from persimmonspur.capacity.record import CapacityRecord
+from persimmonspur.core.claims.directory import WRITE_INTERVAL_MS
+from persimmonspur.daemon.controllers.cell import LISTING_MS, SELDOM_LISTING_MS
+from persimmonspur.daemon.controllers.configuration import CHECK_MS_PER_MEMBER
 
 DAY_S = 86_400.0
 
@@ -63,6 +66,23 @@
         """Configuration changes per second."""
         return self.changes_per_day / DAY_S
 
+    @property
+    def claim_writes_per_s(self) -> float:
+        """Writes of claim partitions if every one of them always has changes."""
+        return self.partitions * self.cells / (WRITE_INTERVAL_MS / 1000)
+
+    @property
+    def listings_per_s(self) -> float:
+        """Readings of the instance list: two members of a cell often, the others seldom."""
+        often = 2 * self.cells
+        seldom = self.instances - often
+        return (often / LISTING_MS + seldom / SELDOM_LISTING_MS) * 1000
+
+    @property
+    def checks_per_s(self) -> float:
+        """Readings of the root by all members in turn."""
+        return self.cells / (CHECK_MS_PER_MEMBER / 1000)
+
     @property
     def member_changes_per_s(self) -> float:
         """Table writes per second because members fail, leave or join.
@@ -84,6 +104,10 @@
     :param apply_whole: processor µs to apply the whole configuration.
     :param apply_cell: processor µs to apply the part of one cell.
     :param claim_memory: bytes of full claim partitions at one instance.
+    :param idle_cpu: processor µs per second of a whole daemon without queries.
+    :param claim_us: processor µs to record and finish a claim.
+    :param resident: resident bytes of a whole daemon without queries.
+    :param change_cpu: processor µs to compute a new table.
     """
 
     member_cpu: float | None
@@ -99,6 +123,10 @@
     apply_cell: float | None
     claim_memory: float | None
     propagation_ms: float | None
+    idle_cpu: float | None
+    change_cpu: float | None
+    resident: float | None
+    claim_us: float | None
 
 
 def extrapolate(record: CapacityRecord, name: str, x: float) -> float | None:
@@ -123,7 +151,7 @@
     if heartbeat is not None and table is not None:
         # The heartbeat series has the fewest endpoints of the table series.
         more = target.cell_endpoints - min(point.x for point in table.points)
-        member_cpu = heartbeat + table.fit.slope * more
+        member_cpu = heartbeat + max(0.0, table.fit.slope) * more
     sent = extrapolate(record, "heartbeat_bytes", target.cell_members)
     coordinator = extrapolate(record, "coordinator_cpu", target.fan_out)
     owner = find_slope(record, "owner_cpu")
@@ -143,4 +171,8 @@
         extrapolate(record, "configuration_apply", target.cell_endpoints),
         claim * partitions * target.partition_records if claim is not None else None,
         extrapolate(record, "propagation", target.cell_members),
+        extrapolate(record, "idle_cpu", target.endpoints / target.instances),
+        extrapolate(record, "table_change", target.cell_endpoints),
+        extrapolate(record, "idle_memory", target.endpoints / target.instances),
+        find_slope(record, "claim_cpu"),
     )
