Let an instance of the spread test be heard only once it started

Cause: the late instance was listed before it started, so a heartbeat of a peer could reach it between its first read and the check, and the test failed once in a run under load.

--- a/tests/daemon/controllers/test_configuration_spread.py
+++ b/tests/daemon/controllers/test_configuration_spread.py
@@ -44,9 +44,9 @@
         self.timeline = SimpleNamespace(record=lambda event, **_: self.recorded.append(event))
         self.configurations = ConfigurationController(self)
         self.handlers = self.configurations.list_handlers()
-        peers[name] = self
 
     def start(self):
+        self.peers[self.name] = self
         self.configurations.start()
         self.beat = gevent.spawn(self.send_heartbeats)
         return self
@@ -67,6 +67,8 @@
                     peer.configurations.observe_version(self.name, self.holder.version)
 
     def send(self, receiver, body):
+        if receiver not in self.peers:
+            return
         if type(body) in self.lost:
             self.lost.remove(type(body))
             return
