--- a/tests/process/test_frozen_owner.py
+++ b/tests/process/test_frozen_owner.py
@@ -57,6 +57,8 @@
     wait_for(lambda: list_events(processes, "entry-0", "member_gone"))
     wait_for(lambda: sum(read_gauge(address, VALID) for address in others) == total)
     after = gevent.spawn(run_load, others, 6.0, 4.0)
+    # These wait in its sockets, so that it coordinates them as soon as it wakes.
+    waiting = [gevent.spawn(query_directly, processes) for _ in range(8)]
     gevent.sleep(1.0)
     process.send_signal(signal.SIGCONT)
     woken_ms = clock.now_ms()
@@ -67,6 +69,7 @@
         if stopped_ms + VALIDITY_MS < entry["monotonic_ms"] < woken_ms + 3_000.0
     ]
     assert sent == []
+    gevent.joinall(waiting, timeout=30.0, raise_error=True)
     assert all(result.wrong == 0 for result in before.get().values())
     for result in after.get().values():
         assert result.sent > 0
@@ -77,6 +80,13 @@
     assert sum(count["connection_overruns"] for count in counts.values()) == 0
 
 
+def query_directly(processes):
+    client = Client([])
+    client._addresses = [processes.daemons[FROZEN].caller_address]
+    client._keep_until_ms = float("inf")
+    return client.query("shopdesk", "batch", 15_000.0, body={"work_ms": 1.0, "top": 5})
+
+
 def read_gauge(address, name):
     client = connect_client(address, 1, 2_000.0)
     try:
