Let retries reach warming replicas and look for a replica again

The timeline shows the first sub-request at the lost owner, one retry or hedge that its owner rejected because the endpoint was not warm just then, and no further attempt for the rest of the deadline: the remaining replicas counted as tried.

Retries now take a warming replica, within its limit, if no warm one is left, and replicas whose attempts have ended may be asked again after 20 ms.

Ruled out: the budget (at most 13 sub-requests for 10 shards were sent) and the views of other owners (the retry went to a live one).

Both new unit tests failed before.

--- a/src/persimmonspur/core/requests/attempts.py
+++ b/src/persimmonspur/core/requests/attempts.py
@@ -164,7 +164,7 @@
             self.conclude_ms - now_ms,
             self.priority,
             query.repeatable,
-            kind is SubRequestKind.HEDGE or kind is SubRequestKind.RETRY,
+            kind is SubRequestKind.HEDGE,
             self.claim_partition,
             query.body,
         )
--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -28,6 +28,8 @@
 __all__ = ["HOP_MARGIN_MS", "Coordination", "CoordinationContext"]
 
 HOP_MARGIN_MS = 2.0
+# How soon to look again for a replica if none takes a retry.
+AGAIN_MS = 20.0
 # Replies may wait unread after the process itself stood still for this long.
 STALL_MS = 50.0
 # Part of the remaining time that the expected wait may take. The rest covers
@@ -266,7 +268,7 @@
         """Send a shard's retry, or owe it until the budget allows it."""
         assert self.pinned is not None
         progress.owed = False
-        view = self._replicas.choose_other(progress, self.pinned.snapshot, now_ms)
+        view = self._replicas.choose_placement(progress, self.pinned.snapshot, now_ms)
         if view is None or self._budget.saturated:
             self._kill(progress, now_ms, actions)
             return
@@ -297,12 +299,14 @@
             return
         if not self._extras or not all(other.overdue for other in attempt.progress.attempts):
             return
-        view = self._replicas.choose_other(attempt.progress, self.pinned.snapshot, now_ms, attempt)
+        snapshot = self.pinned.snapshot
+        view = self._replicas.choose_placement(attempt.progress, snapshot, now_ms, attempt)
         if view is None:
-            attempt.due_ms = float("inf")
+            # Replicas that rejected or failed meanwhile may take it a little later.
+            attempt.progress.forget_settled()
+            attempt.due_ms = now_ms + AGAIN_MS
         elif self._budget.take_retry():
             kind = SubRequestKind.RETRY
-            snapshot = self.pinned.snapshot
             self._attempts.send(attempt.progress, view, snapshot, kind, now_ms, actions)
 
     def _hedge(self, attempt: Attempt, now_ms: float, actions: list[CoordinationAction]) -> None:
--- a/src/persimmonspur/core/requests/progress.py
+++ b/src/persimmonspur/core/requests/progress.py
@@ -30,6 +30,10 @@
     owed: bool = False
     dead: bool = False
 
+    def forget_settled(self) -> None:
+        """Allow replicas again whose attempts have ended."""
+        self.tried = {attempt.request.endpoint for attempt in self.attempts}
+
 
 @define(eq=False)
 class Attempt:
--- a/src/persimmonspur/core/requests/replicas.py
+++ b/src/persimmonspur/core/requests/replicas.py
@@ -70,14 +70,21 @@
         return self._choose(usable, choice)
 
     def choose_placement(
-        self, progress: ShardProgress, snapshot: SnapshotId, now_ms: float
+        self,
+        progress: ShardProgress,
+        snapshot: SnapshotId,
+        now_ms: float,
+        than: Attempt | None = None,
     ) -> EndpointView | None:
-        """Choose an untried replica for a sub-request that certainly did not run.
+        """Choose an untried replica, a warming one if no warm one is left.
+
+        For sub-requests that did not run, and for retries: otherwise a failure
+        domain that goes out, or an owner that is lost, while other replicas warm
+        up costs answers. The owner keeps a warming endpoint within its limit.
 
-        It is not extra work, so a warming replica takes it if no warm one is left:
-        otherwise a failure domain that goes out while others warm up costs answers.
+        :param than: choose another owner than this attempt's.
         """
-        warm = self.choose_other(progress, snapshot, now_ms)
+        warm = self.choose_other(progress, snapshot, now_ms, than)
         if warm is not None:
             return warm
         choice = self._context.choice
@@ -85,4 +92,6 @@
         usable = find_usable(replicas, snapshot, progress.tried)
         remaining_ms = self._conclude_ms - now_ms
         usable = [view for view in usable if estimate_wait(view, now_ms) < remaining_ms]
+        if than is not None:
+            usable = [view for view in usable if view.owner_view.name != than.owner.name]
         return self._choose(restrict_first(usable, len(replicas), choice), choice)
--- a/src/persimmonspur/model/messages.py
+++ b/src/persimmonspur/model/messages.py
@@ -21,7 +21,7 @@
     :param query_id: the caller's request id.
     :param timeout_ms: time left when the message was sent, in milliseconds.
     :param priority: 0 is the most urgent.
-    :param hedge: whether this is a hedge or a retry.
+    :param hedge: whether this is a hedge, which only warm endpoints take.
     :param claim_partition: partition that holds the claim; -1 for repeatable requests.
     """
 
--- a/tests/core/requests/test_query_coordination.py
+++ b/tests/core/requests/test_query_coordination.py
@@ -166,6 +166,38 @@
     assert bench.answer.missing_shards == ("s0",)
 
 
+def test_a_sub_request_of_a_lost_owner_finds_a_replica_that_refused_at_first():
+    bench = Bench().start()
+    lost = bench.sent[0].owner
+    while len(bench.sent) < 2:
+        bench.wake()
+    rejected = {}
+    while bench.answer is None:
+        action = bench.sent[-1]
+        if action.request.id not in bench.run._attempts.running:
+            bench.wake()
+            continue
+        if action.request.endpoint not in rejected:
+            rejected[action.request.endpoint] = True
+            bench.reply(error=ErrorKind.ENDPOINT_UNAVAILABLE, ran=Ran.NO)
+            continue
+        bench.reply()
+    assert bench.answer.records == RECORDS
+    assert all(action.owner != lost for action in bench.sent[1:])
+
+
+def test_a_retry_goes_to_a_warming_replica_if_no_warm_one_is_left():
+    bench = Bench()
+    bench.start()
+    for name in ("s0-r0", "s0-r1", "s0-r2"):
+        if name != bench.sent[0].request.endpoint:
+            report(bench.view, name, 0.0, state="warming")
+    while len(bench.sent) < 2 and bench.answer is None:
+        bench.wake()
+    assert bench.sent[1].kind is SubRequestKind.RETRY
+    assert not bench.sent[1].request.hedge
+
+
 @pytest.mark.parametrize("repeatable", [True, False])
 def test_a_shard_whose_replicas_all_change_hands_is_tried_again_in_time(repeatable):
     bench = Bench(repeatable=repeatable).start()
