Leave a silent instance early in the client library

A caller whose instance was frozen waited out its whole timeout, and the next query could go to the same instance until the others stopped naming it.

A non-repeatable request keeps its id and epoch, so its claim owner recognises the repeat.

Ruled out: parallel attempts from the start, which double the load.

--- a/src/persimmonspur/client/client.py
+++ b/src/persimmonspur/client/client.py
@@ -11,12 +11,22 @@
 
 from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.clock import Clock
+from persimmonspur.core.routing.hedging import ExtraBudget
+from persimmonspur.core.routing.latency import LatencyBook
 from persimmonspur.errors import ErrorKind, Ran
 
 CONNECTIONS = 32
 RESOLVE_TIMEOUT_MS = 1_000.0
 # Time beyond the query's own timeout that the client waits for the answer.
 GRACE_MS = 500.0
+# An instance that has not answered by this multiple of the 99th percentile is
+# probably frozen: another one is asked, within the budget of extra attempts.
+PATIENCE_PERCENTILES = 3.0
+LEAST_PATIENCE_MS = 150.0
+TYPICAL_MS = 50.0
+# Instances stop naming a silent member after about 4 s; until then the client
+# itself prefers others.
+AVOID_MS = 5_000.0
 
 
 @frozen
@@ -61,6 +71,9 @@
         self._epoch = 0
         self._keep_until_ms = 0.0
         self._clients: dict[str, HTTPClient] = {}
+        self._latencies = LatencyBook()
+        self._budget = ExtraBudget()
+        self._avoid_until_ms: dict[str, float] = {}
 
     def resolve(self) -> list[str]:
         """Return the addresses to use, from the cache while it may be kept."""
@@ -111,7 +124,9 @@
         # Fixed for all attempts: a resolve in between may bring a later epoch,
         # under which a new claim owner would take the repeat for a new request.
         epoch = self._epoch if epoch is None else epoch
-        start = self._rng.randrange(len(addresses))
+        addresses = self._order(addresses)
+        estimate = self._latencies.get(service, priority_class, TYPICAL_MS)
+        self._budget.add_first(1)
         answer = ClientAnswer(
             request_id, 0, error=ErrorKind.UNREACHABLE, message="no instance answered", ran=Ran.NO
         )
@@ -120,7 +135,7 @@
             remaining_ms = deadline_ms - self._clock.now_ms()
             if remaining_ms <= 0:
                 break
-            address = addresses[(start + attempt) % len(addresses)]
+            address = addresses[attempt]
             document = {
                 "service": service,
                 "class": priority_class,
@@ -133,7 +148,18 @@
                 "body": body,
                 "limit": limit,
             }
-            answer = self._post_query(address, document, remaining_ms + GRACE_MS, attempt + 1)
+            limit_ms = remaining_ms + GRACE_MS
+            patience_ms = max(LEAST_PATIENCE_MS, PATIENCE_PERCENTILES * estimate.p99_ms)
+            last = attempt + 1 == len(addresses)
+            if patience_ms < remaining_ms and not last and self._budget.take_retry():
+                limit_ms = patience_ms
+            started_ms = self._clock.now_ms()
+            answer = self._post_query(address, document, limit_ms, attempt + 1)
+            now_ms = self._clock.now_ms()
+            if answer.error is ErrorKind.UNREACHABLE:
+                self._avoid_until_ms[address] = now_ms + AVOID_MS
+            else:
+                estimate.observe(now_ms - started_ms, now_ms)
             ran = _combine(ran, answer)
             answer = evolve(answer, ran=ran, epoch=epoch)
             if not repeatable and own_id and ran is Ran.NO and answer.error in _FRESH_ID:
@@ -150,6 +176,13 @@
             client.close()
         self._clients.clear()
 
+    def _order(self, addresses: list[str]) -> list[str]:
+        """Return the addresses in random order, those that just failed last."""
+        now_ms = self._clock.now_ms()
+        start = self._rng.randrange(len(addresses))
+        rotated = addresses[start:] + addresses[:start]
+        return sorted(rotated, key=lambda name: self._avoid_until_ms.get(name, 0.0) > now_ms)
+
     def _find_client(self, address: str) -> HTTPClient:
         if address not in self._clients:
             self._clients[address] = connect_client(address, CONNECTIONS, 60_000.0)
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -1,7 +1,9 @@
 """Guards the client's repeats of non-repeatable requests."""
 
+import gevent
 import msgspec
 import pytest
+from gevent.server import StreamServer
 
 from persimmonspur.adapters.http import NoDelayServer, read_body, respond_json
 from persimmonspur.client.client import Client
@@ -84,3 +86,20 @@
 def test_refused_connections_did_not_run(entry):
     answer, _ = query(entry, Client([find_free_address()]))
     assert (answer.error, answer.ran) == (ErrorKind.UNREACHABLE, Ran.NO)
+
+
+def test_a_silent_instance_is_left_and_avoided(entry):
+    """A frozen instance must not cost its callers the whole timeout each time."""
+    silent = StreamServer(("127.0.0.1", 0), lambda sock, address: gevent.sleep(30))
+    silent.start()
+    client = Client([entry.address])
+    client._addresses = [f"127.0.0.1:{silent.server_port}", entry.address]
+    client._keep_until_ms = float("inf")
+    client._rng.randrange = lambda bound: 0
+    entry.answers = [(None, "yes")] * 2
+    first = client.query("s", "counter", 60_000.0)
+    assert (first.error, first.attempts) == (None, 2)
+    client._keep_until_ms = float("inf")
+    second = client.query("s", "counter", 60_000.0)
+    assert (second.error, second.attempts) == (None, 1)
+    silent.stop()
