Do not deny earlier attempts of a non-repeatable request

Cause: filters before the claim (ready, leaving, admission, deadline) answered `ran: no` because this attempt had not run. A caller that repeats an id after a lost answer reads that as "the request did not run", although the first attempt may have run through another instance.

Such rejections now say `unknown`, unless the caller vouches that it never sent the id before (`first_attempt`, which the client library sets for its own ids) or the claim owner decided. Ruled out: asking the claim owner before each rejection, since rejections must stay cheap under overload.

--- a/src/persimmonspur/client/client.py
+++ b/src/persimmonspur/client/client.py
@@ -131,6 +131,7 @@
             request_id, 0, error=ErrorKind.UNREACHABLE, message="no instance answered", ran=Ran.NO
         )
         ran = Ran.NO
+        first_attempt = own_id
         for attempt in range(len(addresses)):
             remaining_ms = deadline_ms - self._clock.now_ms()
             if remaining_ms <= 0:
@@ -147,6 +148,7 @@
                 "key": key,
                 "body": body,
                 "limit": limit,
+                "first_attempt": first_attempt,
             }
             limit_ms = remaining_ms + GRACE_MS
             patience_ms = max(LEAST_PATIENCE_MS, PATIENCE_PERCENTILES * estimate.p99_ms)
@@ -155,6 +157,7 @@
                 limit_ms = patience_ms
             started_ms = self._clock.now_ms()
             answer = self._post_query(address, document, limit_ms, attempt + 1)
+            first_attempt = False
             now_ms = self._clock.now_ms()
             if answer.error is ErrorKind.UNREACHABLE:
                 self._avoid_until_ms[address] = now_ms + AVOID_MS
@@ -163,7 +166,7 @@
             ran = _combine(ran, answer)
             answer = evolve(answer, ran=ran, epoch=epoch)
             if not repeatable and own_id and ran is Ran.NO and answer.error in _FRESH_ID:
-                request_id, epoch = uuid.uuid4().hex, self._epoch
+                request_id, epoch, first_attempt = uuid.uuid4().hex, self._epoch, True
                 continue
             if not _should_fail_over(answer):
                 return answer
--- a/src/persimmonspur/daemon/http.py
+++ b/src/persimmonspur/daemon/http.py
@@ -39,6 +39,7 @@
     key: int | None = None
     body: Any = None
     limit: int | None = None
+    first_attempt: bool = False
 
 
 class HttpSurface:
@@ -103,6 +104,7 @@
         document.key,
         document.body,
         document.limit,
+        document.first_attempt,
     )
     answer = run_chain(RequestContext(instance, query, received_ms))
     status, answer_document = render_answer(answer)
--- a/tests/daemon/test_http.py
+++ b/tests/daemon/test_http.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fakes import build_instance
-from persimmonspur.daemon.filters import standard  # noqa: F401
+from persimmonspur.daemon.filters import admission, claims, standard  # noqa: F401
 from persimmonspur.daemon.http import MAX_BODY_BYTES, HttpSurface
 from persimmonspur.daemon.lifecycle import Phase
 
@@ -66,6 +66,21 @@
     assert json.loads(seen["body"])["ran"] == "no"
 
 
+@pytest.mark.parametrize(
+    ("change", "ran"),
+    [
+        ({}, "no"),
+        ({"repeatable": False}, "unknown"),
+        ({"repeatable": False, "first_attempt": True}, "no"),
+    ],
+)
+def test_rejection_before_the_claim_does_not_deny_an_earlier_attempt(change, ran):
+    """The id may have run through another instance, which this one did not ask."""
+    body = json.dumps({**QUERY, **change}).encode()
+    seen = call(HttpSurface(build_instance()), "POST", "/v1/query", body)
+    assert json.loads(seen["body"])["ran"] == ran
+
+
 def test_unexpected_error_is_answered_with_ran_unknown():
     instance = build_instance()
     instance.cell = None
