Take the expiry of a request from before the check of the right to send

Cause: the absolute expiry was computed when the endpoint call started. A process that paused between the check of its right to send and that line gave the endpoint an expiry later than its validity, so that two owners could have work at one endpoint. The new test pauses there and failed before (the call had no expiry of its own).

Ruled out: checking again inside the adapter, which only moves the gap.

Also adds `persimmonspur status` and GET /v1/state, which tell for every endpoint why it is in its state.

--- a/src/persimmonspur/adapters/endpoints.py
+++ b/src/persimmonspur/adapters/endpoints.py
@@ -55,19 +55,27 @@
         """Set what is called with an endpoint's name when it closes an idle connection."""
         self._listener = listener
 
-    def search(self, endpoint: Endpoint, request: SubRequest, timeout_ms: float) -> EndpointOutcome:
+    def search(
+        self,
+        endpoint: Endpoint,
+        request: SubRequest,
+        timeout_ms: float,
+        expires_at_ms: float | None = None,
+    ) -> EndpointOutcome:
         """Run a sub-request; never raises.
 
         Without a response, ``ran`` is ``no`` if nothing was sent and ``unknown`` otherwise.
         """
         started_ms = self._clock.now_ms()
+        if expires_at_ms is None:
+            expires_at_ms = self._clock.wall_ms() + timeout_ms
         headers = {
             "x-request-id": request.id,
             "x-service": request.service,
             "x-shard": request.shard,
             "x-snapshot": str(request.snapshot),
             "x-timeout-ms": f"{timeout_ms:.1f}",
-            "x-expires-at-ms": f"{self._clock.wall_ms() + timeout_ms:.0f}",
+            "x-expires-at-ms": f"{expires_at_ms:.0f}",
             "x-class": str(request.priority),
             "content-type": "application/json",
         }
--- a/src/persimmonspur/capacity/propagation.py
+++ b/src/persimmonspur/capacity/propagation.py
@@ -97,7 +97,13 @@
     def configure(self, configuration: Configuration) -> None:
         """Do nothing."""
 
-    def search(self, endpoint: Endpoint, request: SubRequest, timeout_ms: float) -> EndpointOutcome:
+    def search(
+        self,
+        endpoint: Endpoint,
+        request: SubRequest,
+        timeout_ms: float,
+        expires_at_ms: float | None = None,
+    ) -> EndpointOutcome:
         """Raise: nothing is searched here."""
         raise NotImplementedError
 
--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -15,6 +15,7 @@
 from persimmonspur.cli.commands.query import QueryCommand
 from persimmonspur.cli.commands.report import ReportCommand
 from persimmonspur.cli.commands.show import ShowCommand
+from persimmonspur.cli.commands.status import StatusCommand
 from persimmonspur.cli.commands.timeline import TimelineCommand
 
 
@@ -25,6 +26,7 @@
     application.add(CheckCommand())
     application.add(ApplyCommand())
     application.add(ShowCommand())
+    application.add(StatusCommand())
     application.add(DrainCommand())
     application.add(ReturnCommand())
     application.add(LoadCommand())
--- a/src/persimmonspur/core/endpoints/gate.py
+++ b/src/persimmonspur/core/endpoints/gate.py
@@ -209,6 +209,26 @@
             self._service_ms,
         )
 
+    def explain(self, now_ms: float) -> str:
+        """Return in one line why the endpoint is in its state."""
+        if self._drain.desired is not Desired.SERVING:
+            return f"operators want it {self._drain.desired}"
+        if not self._drain.serving:
+            return "it said that it drains"
+        if self._releasing:
+            return "its budget moves to another instance"
+        if now_ms >= self._usable_until_ms:
+            return "no confirmed right to send"
+        if self._slots.is_blocked(self.limit):
+            return "requests without a reply may still run on all its slots"
+        if self._ejection.ejected:
+            return "its requests failed several times in a row"
+        if self._suspect_since_ms is not None:
+            return "it closed idle connections; its next report decides"
+        if self._report is None:
+            return "it has not reported yet"
+        return f"proved {self.limit} of {self.limits.slots} concurrent requests"
+
     @property
     def state(self) -> str:
         """One of ``cold``, ``warming``, ``warm``, ``draining``, ``out`` and ``ejected``."""
--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -22,6 +22,7 @@
 from persimmonspur.model.configuration import Endpoint, Service
 from persimmonspur.model.messages import (
     Cancel,
+    EndpointStatus,
     Release,
     ReleasedBudget,
     SubReply,
@@ -50,6 +51,18 @@
     endpoint: str
 
 
+@frozen
+class EndpointDescription:
+    """An owned endpoint as operators see it.
+
+    :param reason: why it is in its state, in one line.
+    """
+
+    name: str
+    status: EndpointStatus
+    reason: str
+
+
 @CONTROLLERS.register("endpoints")
 class EndpointController:
     """Connects :class:`EndpointGate` with the endpoint calls and the peers."""
@@ -167,6 +180,15 @@
             if gate is not None:
                 self._execute(gate, gate.cancel(request_id, now_ms))
 
+    def describe(self) -> list[EndpointDescription]:
+        """Return the state of every owned endpoint and its reason, by name."""
+        now_ms = self._instance.clock.now_ms()
+        descriptions = []
+        for name, gate in sorted(self._gates.items()):
+            status = gate.get_status(now_ms)
+            descriptions.append(EndpointDescription(name, status, gate.explain(now_ms)))
+        return descriptions
+
     def observe_member(self, name: str, incarnation: int, configuration_version: int) -> None:
         """Take the versions that came with a peer's message."""
         self._statuses.inform(name, incarnation, configured=configuration_version > 0)
@@ -269,6 +291,8 @@
     def _send(self, gate: EndpointGate, action: Dispatch) -> EndpointOutcome:
         request = action.request
         name = gate.endpoint.name
+        # Read before the check: a pause after the check must not move the expiry.
+        wall_ms = self._instance.clock.wall_ms()
         now_ms = self._instance.clock.now_ms()
         # The greenlet may have waited, or the whole process may have been
         # paused, since the gate decided to send.
@@ -282,7 +306,9 @@
         self._instance.timeline.record(
             events.DISPATCHED, request.query_id, sub_request=request.id, endpoint=name
         )
-        return self._instance.endpoint_calls.search(gate.endpoint, request, timeout_ms)
+        return self._instance.endpoint_calls.search(
+            gate.endpoint, request, timeout_ms, wall_ms + timeout_ms
+        )
 
     def _probe(self, gate: EndpointGate) -> None:
         report = self._instance.endpoint_calls.fetch_report(gate.endpoint, PROBE_TIMEOUT_MS)
--- a/src/persimmonspur/daemon/http.py
+++ b/src/persimmonspur/daemon/http.py
@@ -149,6 +149,37 @@
     return respond_json(start_response, 200 if instance.ready else 503, document)
 
 
+@ROUTES.register("GET /v1/state")
+def show_state(
+    instance: Instance, environ: dict[str, Any], start_response: StartResponse
+) -> list[bytes]:
+    """Return the instance's phase, versions and members, and why its endpoints are as they are."""
+    table = instance.cell.table
+    endpoints = []
+    for description in instance.endpoints.describe():
+        status = description.status
+        endpoints.append(
+            {
+                "endpoint": description.name,
+                "state": status.state,
+                "reason": description.reason,
+                "usable": status.usable,
+                "running": status.running,
+                "queue": status.queue,
+                "limit": status.limit,
+            }
+        )
+    document = {
+        "instance": instance.settings.instance,
+        "phase": instance.phase.name.lower(),
+        "configuration_version": instance.holder.version,
+        "table_version": instance.cell.table_version,
+        "members": sorted(table.members) if table is not None else [],
+        "endpoints": endpoints,
+    }
+    return respond_json(start_response, 200, document)
+
+
 @ROUTES.register("GET /v1/timeline")
 def list_timeline(
     instance: Instance, environ: dict[str, Any], start_response: StartResponse
--- a/src/persimmonspur/ports.py
+++ b/src/persimmonspur/ports.py
@@ -84,8 +84,18 @@
         """Take the limits that bound the connections of each endpoint."""
         ...
 
-    def search(self, endpoint: Endpoint, request: SubRequest, timeout_ms: float) -> EndpointOutcome:
-        """Run a sub-request; never raises."""
+    def search(
+        self,
+        endpoint: Endpoint,
+        request: SubRequest,
+        timeout_ms: float,
+        expires_at_ms: float | None = None,
+    ) -> EndpointOutcome:
+        """Run a sub-request; never raises.
+
+        :param expires_at_ms: wall-clock milliseconds after which the endpoint must not run
+            it; the timeout from now if ``None``.
+        """
         ...
 
     def cancel(self, endpoint: Endpoint, request_id: str) -> None:
--- a/tests/cli/commands/test_caller_commands.py
+++ b/tests/cli/commands/test_caller_commands.py
@@ -6,12 +6,14 @@
 from cleo.testers.command_tester import CommandTester
 
 from persimmonspur.cli.commands import query as query_module
+from persimmonspur.cli.commands import status as status_module
 from persimmonspur.cli.commands import timeline as timeline_module
 from persimmonspur.cli.commands.demo import DemoCommand
 from persimmonspur.cli.commands.events import EventsCommand
 from persimmonspur.cli.commands.load import LoadCommand
 from persimmonspur.cli.commands.query import QueryCommand
 from persimmonspur.cli.commands.report import ReportCommand
+from persimmonspur.cli.commands.status import StatusCommand
 from persimmonspur.cli.commands.timeline import TimelineCommand
 from persimmonspur.client.client import ClientAnswer
 from persimmonspur.daemon.timeline import TimelineEntry
@@ -101,6 +103,22 @@
     assert code == ANSWERS[ErrorKind.UNREACHABLE].exit_code
 
 
+@pytest.mark.parametrize(("options", "shown"), [("", True), ("--unusable", False)])
+def test_status_tells_why_an_endpoint_is_in_its_state(monkeypatch, options, shown):
+    endpoint = {"endpoint": "e", "state": "warm", "reason": "proved 4 of 4", "usable": True}
+    endpoint.update(running=1, queue=0, limit=4)
+    state = {"instance": "entry-1", "phase": "serving", "configuration_version": 3}
+    state.update(table_version=9, members=["entry-1"], endpoints=[endpoint])
+    answers = {"10.0.0.1:7400": state, "10.0.0.2:7400": None}
+    monkeypatch.setattr(status_module, "list_instances", lambda addresses: list(answers))
+    monkeypatch.setattr(status_module, "fetch_json", lambda address, path: answers[address])
+    code, output, error = run(StatusCommand(), f"{ADDRESS} {options}")
+    assert code == 0
+    assert "entry-1: serving, configuration 3, table 9, 1 members" in output
+    assert ("proved 4 of 4" in output) is shown
+    assert "10.0.0.2:7400" in error
+
+
 def test_events_lists_the_catalogue_as_json():
     code, output, _ = run(EventsCommand(), "--json")
     assert code == 0
--- a/tests/core/endpoints/test_gate.py
+++ b/tests/core/endpoints/test_gate.py
@@ -7,7 +7,7 @@
 from persimmonspur.core.endpoints.gate import EndpointGate
 from persimmonspur.core.endpoints.warmup import WarmUp
 from persimmonspur.errors import ErrorKind, Ran
-from persimmonspur.model.configuration import Endpoint, Limits
+from persimmonspur.model.configuration import Desired, Endpoint, Limits
 from persimmonspur.model.messages import SubRequest
 from persimmonspur.model.outcome import EndpointOutcome, EndpointReport
 from persimmonspur.model.query import SnapshotId
@@ -184,3 +184,19 @@
     assert budget.may_take(0.0, cold=False)
     budget.give_back(new=True, lost=False)
     assert budget.may_take(0.0, cold=True)
+
+
+def test_the_reason_names_what_holds_the_endpoint():
+    gate = build_gate(level=2)
+    assert gate.explain(1.0) == "it has not reported yet"
+    offer(gate, "a")
+    succeed(gate, "a", 1.0)
+    assert gate.explain(1.0) == "proved 2 of 4 concurrent requests"
+    offer(gate, "b")
+    succeed(gate, "b", 2.0, state="draining")
+    assert gate.explain(2.0) == "it said that it drains"
+    gate.configure(gate.endpoint, gate.limits, Desired.OUT, 3.0)
+    assert gate.explain(3.0) == "operators want it out"
+    other = build_gate()
+    other.extend(5.0, 0.0)
+    assert other.explain(6.0) == "no confirmed right to send"
--- a/tests/daemon/test_endpoint_controller.py
+++ b/tests/daemon/test_endpoint_controller.py
@@ -33,8 +33,9 @@
     def __init__(self):
         self.searches, self.forgotten, self.answer = [], [], gevent.event.Event()
 
-    def search(self, endpoint, request, timeout_ms):
+    def search(self, endpoint, request, timeout_ms, expires_at_ms):
         self.searches.append((request.id, timeout_ms))
+        self.expires_at_ms = expires_at_ms
         self.answer.wait()
         report = EndpointReport("i1", "warm", 0.1, (SNAPSHOT,))
         return EndpointOutcome(None, "", Ran.YES, [], SNAPSHOT, report, 5.0)
@@ -88,6 +89,18 @@
     assert instance.endpoint_calls.searches == [("q", 40.0)]
 
 
+def test_a_pause_between_the_check_and_the_call_does_not_move_the_expiry(instance):
+    offer(instance, "q")
+
+    def check_and_pause(name, now_ms):
+        instance.clock.advance(60_000.0)
+        return 40.0
+
+    instance.cell.usable_until = check_and_pause
+    gevent.sleep(0)
+    assert instance.endpoint_calls.expires_at_ms == 40.0
+
+
 @pytest.mark.parametrize(("sender", "incarnation"), [(OWN, None), (OTHER, 7), ("entry-9", 1)])
 def test_non_repeatable_work_is_only_taken_from_the_claim_owner(instance, sender, incarnation):
     offer(instance, "q", sender=sender, incarnation=incarnation, repeatable=False)
