--- a/src/persimmonspur/core/claims/partition.py
+++ b/src/persimmonspur/core/claims/partition.py
@@ -218,7 +218,7 @@
 
         They count as complete only if the former owner stopped recording for
         the very change that made this member the owner. They may arrive at any
-        time: the floor only falls to what the former owner vouches for.
+        time: the floor only falls to what the former owner's records cover.
 
         :returns: whether they are complete.
         """
--- a/src/persimmonspur/core/membership/roster.py
+++ b/src/persimmonspur/core/membership/roster.py
@@ -36,7 +36,7 @@
         self._detector = Detector(own.name)
         self._holddown = Holddown()
         self._joiners: dict[str, tuple[Member, float]] = {}
-        self._farewells: dict[str, int] = {}
+        self._leaving_incarnations: dict[str, int] = {}
         self._desired: dict[str, Desired] = {}
         self._table: CellTable | None = None
         self._adopted_ms = 0.0
@@ -45,7 +45,7 @@
     @property
     def leaving(self) -> bool:
         """Whether this member announced its end."""
-        return self._said_farewell(self.own)
+        return self._announced_leaving(self.own)
 
     @property
     def is_member(self) -> bool:
@@ -80,12 +80,12 @@
         leaving = self.leaving
         self.own = evolve(self.own, incarnation=taken + 1)
         if leaving:
-            self.say_farewell()
+            self.announce_leaving()
         return True
 
-    def say_farewell(self) -> None:
+    def announce_leaving(self) -> None:
         """Note that this member is about to end."""
-        self._farewells[self.own.name] = self.own.incarnation
+        self._leaving_incarnations[self.own.name] = self.own.incarnation
 
     def tick(self, now_ms: float) -> None:
         """Recognise pauses of this process."""
@@ -118,9 +118,11 @@
         :param version: version of the sender's table.
         """
         if heartbeat.leaving:
-            self._farewells[sender] = max(self._farewells.get(sender, 0), incarnation)
+            self._leaving_incarnations[sender] = max(
+                self._leaving_incarnations.get(sender, 0), incarnation
+            )
         if heartbeat.ended:
-            self.terminations.observe_farewell(sender, incarnation)
+            self.terminations.observe_end(sender, incarnation)
         joining = heartbeat.joining
         if joining is not None and (joining.name, joining.incarnation) == (sender, incarnation):
             self._joiners[sender] = (joining, now_ms)
@@ -140,7 +142,7 @@
         """Return the members that stated their end, or are silent and were reported as ended."""
         ended = set()
         for name, member in table.members.items():
-            if self.terminations.get_farewell(name) >= member.incarnation:
+            if self.terminations.get_ended_incarnation(name) >= member.incarnation:
                 ended.add(name)
                 continue
             reported = self.terminations.get_ended(name) >= member.incarnation
@@ -187,7 +189,7 @@
         leaving = frozenset(
             member.name
             for member in base.members.values()
-            if member.state is not MemberState.LEAVING and self._said_farewell(member)
+            if member.state is not MemberState.LEAVING and self._announced_leaving(member)
         )
         rest_ms = now_ms - self._adopted_ms if base.version else 0.0
         return Evidence(
@@ -204,12 +206,12 @@
         )
 
     def _is_serving(self, member: Member) -> bool:
-        if member.state is MemberState.LEAVING or self._said_farewell(member):
+        if member.state is MemberState.LEAVING or self._announced_leaving(member):
             return False
         return self._desired.get(member.name, Desired.SERVING) is Desired.SERVING
 
-    def _said_farewell(self, member: Member) -> bool:
-        return self._farewells.get(member.name, 0) >= member.incarnation
+    def _announced_leaving(self, member: Member) -> bool:
+        return self._leaving_incarnations.get(member.name, 0) >= member.incarnation
 
     def _list_incarnations(self) -> dict[str, int]:
         members = self._table.members if self._table is not None else {}
--- a/src/persimmonspur/core/membership/termination.py
+++ b/src/persimmonspur/core/membership/termination.py
@@ -26,7 +26,7 @@
         self._shown: set[str] = set()
         self._omissions: dict[str, _Omission] = {}
         self._declared: dict[str, int] = {}
-        self._farewells: dict[str, int] = {}
+        self._ended_incarnations: dict[str, int] = {}
 
     def observe_listing(
         self, names: frozenset[str], incarnations: Mapping[str, int], now_ms: float
@@ -49,13 +49,13 @@
             name: self._declared.get(name) or incarnations.get(name, 0) for name in names
         }
 
-    def observe_farewell(self, name: str, incarnation: int) -> None:
+    def observe_end(self, name: str, incarnation: int) -> None:
         """Take an instance's own statement that its incarnation has ended."""
-        self._farewells[name] = max(self._farewells.get(name, 0), incarnation)
+        self._ended_incarnations[name] = max(self._ended_incarnations.get(name, 0), incarnation)
 
-    def get_farewell(self, name: str) -> int:
+    def get_ended_incarnation(self, name: str) -> int:
         """Return the highest incarnation of a name that stated its own end; 0 if none."""
-        return self._farewells.get(name, 0)
+        return self._ended_incarnations.get(name, 0)
 
     def get_ended(self, name: str) -> int:
         """Return the highest incarnation of a name that was reported as ended; 0 if none."""
--- a/src/persimmonspur/core/ownership/cell.py
+++ b/src/persimmonspur/core/ownership/cell.py
@@ -225,7 +225,7 @@
 
     def begin_leaving(self, now_ms: float) -> list[CellAction]:
         """Start to leave: hand over budgets; others stop naming this instance."""
-        self._roster.say_farewell()
+        self._roster.announce_leaving()
         return [*self._send_round(now_ms), *self._propose(now_ms)]
 
     def end(self, now_ms: float) -> list[CellAction]:
--- a/src/persimmonspur/core/ownership/table.py
+++ b/src/persimmonspur/core/ownership/table.py
@@ -29,7 +29,7 @@
     """What the cell remembers of a former member.
 
     :param incarnation: the removed incarnation, which may not return.
-    :param count: removals without a farewell in the last ten minutes.
+    :param count: removals of members that did not announce that they leave in the last ten minutes.
     """
 
     incarnation: int
--- a/src/persimmonspur/core/requests/attempts.py
+++ b/src/persimmonspur/core/requests/attempts.py
@@ -216,7 +216,7 @@
         """Give up all attempts; those that were overdue at a live owner count as failed."""
         for attempt in list(self.running.values()):
             if attempt.overdue and attempt.owner.replied_ms >= attempt.sent_ms:
-                self._blame(attempt, now_ms)
+                self._record_failure(attempt, now_ms)
             self.abandon(attempt, now_ms, actions)
 
     def suspect_owner(self, attempt: Attempt, now_ms: float) -> None:
@@ -249,12 +249,12 @@
             # A deadline that was too short for any endpoint is no evidence against this one.
             expected = now_ms - attempt.sent_ms < self.unanswered_ms
             if not (error is ErrorKind.DEADLINE_EXCEEDED and expected):
-                self._blame(attempt, now_ms)
+                self._record_failure(attempt, now_ms)
         if error in _NO_ROOM:
             wait_ms = max(reply.retry_after_ms, view.backlog_ms, LEAST_RETRY_AFTER_MS)
             self.overloaded_after_ms = wait_ms
 
-    def _blame(self, attempt: Attempt, now_ms: float) -> None:
+    def _record_failure(self, attempt: Attempt, now_ms: float) -> None:
         view = attempt.view
         view.observe_outcome(failed=True)
         until_ms = self.context.endpoint_outliers.observe_failure(view.endpoint.name, now_ms)
--- a/src/persimmonspur/core/requests/coordination.py
+++ b/src/persimmonspur/core/requests/coordination.py
@@ -79,7 +79,7 @@
         self._open = 0
         self._postponed = Postponements()
         # Whether retries wait for the budget.
-        self._owing = False
+        self._retry_pending = False
         self._wake_ms = float("inf")
 
     def start(self, now_ms: float) -> list[CoordinationAction]:
@@ -111,7 +111,7 @@
             self._replace(progress, reply, now_ms, actions)
         if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
-        if not actions and self._open and not self._owing and not self._postponed:
+        if not actions and self._open and not self._retry_pending and not self._postponed:
             return actions
         return self._advance(now_ms, actions)
 
@@ -132,8 +132,8 @@
                 attempt.due_ms = now_ms + RECHECK_MS
                 continue
             self._check(attempt, now_ms, actions)
-        if self._owing:
-            self._retry_owed(now_ms, actions)
+        if self._retry_pending:
+            self._retry_pending_shards(now_ms, actions)
         if self._attempts.held and self._open:
             self._send_waiting(now_ms, actions)
         if self._postponed:
@@ -151,7 +151,7 @@
             holders = pinned.holders.get(shard.name, [])
             view = self._replicas.choose_first(progress.name, holders)
             if view is None:
-                progress.dead = True
+                progress.given_up = True
                 continue
             targets.append(_Target(progress, view))
         self._open = len(targets)
@@ -203,7 +203,7 @@
             view = self._replicas.choose_first(progress.name, usable)
             if view is None:
                 self._attempts.release(progress)
-                self._kill(progress, now_ms, actions)
+                self._give_up(progress, now_ms, actions)
                 continue
             if not self._attempts.may_send(view):
                 continue
@@ -244,7 +244,7 @@
         elif self._extras:
             self._retry(progress, now_ms, actions)
             return
-        self._kill(progress, now_ms, actions)
+        self._give_up(progress, now_ms, actions)
 
     def _postpone(self, progress: ShardProgress, now_ms: float) -> bool:
         """Try the replicas of a shard again soon, unless its snapshot was lost."""
@@ -260,28 +260,28 @@
                 kind = SubRequestKind.PLACEMENT
                 self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
             elif not self._postpone(progress, now_ms):
-                self._kill(progress, now_ms, actions)
+                self._give_up(progress, now_ms, actions)
 
     def _retry(
         self, progress: ShardProgress, now_ms: float, actions: list[CoordinationAction]
     ) -> None:
-        """Send a shard's retry, or owe it until the budget allows it."""
+        """Send a shard's retry, or keep it pending until the budget allows it."""
         assert self.pinned is not None
-        progress.owed = False
+        progress.retry_pending = False
         view = self._replicas.choose_placement(progress, self.pinned.snapshot, now_ms)
         if view is None or self._budget.saturated:
-            self._kill(progress, now_ms, actions)
+            self._give_up(progress, now_ms, actions)
             return
         if not self._budget.take_retry():
-            progress.owed = self._owing = True
+            progress.retry_pending = self._retry_pending = True
             return
         kind = SubRequestKind.RETRY
         self._attempts.send(progress, view, self.pinned.snapshot, kind, now_ms, actions)
 
-    def _retry_owed(self, now_ms: float, actions: list[CoordinationAction]) -> None:
-        self._owing = False
+    def _retry_pending_shards(self, now_ms: float, actions: list[CoordinationAction]) -> None:
+        self._retry_pending = False
         for progress in list(self._shards.values()):
-            if progress.owed:
+            if progress.retry_pending:
                 self._retry(progress, now_ms, actions)
 
     def _check(self, attempt: Attempt, now_ms: float, actions: list[CoordinationAction]) -> None:
@@ -327,11 +327,11 @@
         else:
             attempt.due_ms = min(attempt.due_ms, now_ms + RECHECK_MS)
 
-    def _kill(
+    def _give_up(
         self, progress: ShardProgress, now_ms: float, actions: list[CoordinationAction]
     ) -> None:
         """Give a shard up, or restart the query if its snapshot was lost."""
-        progress.dead = True
+        progress.given_up = True
         self._open -= 1
         newer = self._find_newer(progress, now_ms)
         if newer is None:
@@ -345,7 +345,7 @@
     def _drop_pending(self) -> None:
         self._postponed.clear()
         for progress in self._shards.values():
-            progress.owed = False
+            progress.retry_pending = False
             if progress.waiting:
                 self._attempts.release(progress)
 
@@ -373,7 +373,7 @@
             actions.extend(self._conclude(now_ms))
             return actions
         wake_ms = min(self._conclude_ms, self._attempts.due_ms, self._postponed.get_due_ms())
-        if self._owing or self._attempts.held:
+        if self._retry_pending or self._attempts.held:
             wake_ms = min(wake_ms, now_ms + self._attempts.get_recheck_ms())
         if wake_ms < self._wake_ms:
             self._wake_ms = wake_ms
--- a/src/persimmonspur/core/requests/progress.py
+++ b/src/persimmonspur/core/requests/progress.py
@@ -18,8 +18,8 @@
     :param attempts: attempts without a reply.
     :param records: set once the shard is answered.
     :param waiting: whether the first attempt is still to be sent.
-    :param owed: whether a retry waits for the budget.
-    :param dead: whether nothing more can come.
+    :param retry_pending: whether a retry waits for the budget.
+    :param given_up: whether nothing more can come.
     """
 
     name: str
@@ -27,8 +27,8 @@
     attempts: "list[Attempt]" = field(factory=list)
     records: list[Any] | None = None
     waiting: bool = False
-    owed: bool = False
-    dead: bool = False
+    retry_pending: bool = False
+    given_up: bool = False
 
     def forget_settled(self) -> None:
         """Allow replicas again whose attempts have ended."""
--- a/src/persimmonspur/daemon/controllers/cell.py
+++ b/src/persimmonspur/daemon/controllers/cell.py
@@ -21,7 +21,6 @@
 
 TICK_MS = 100.0
 REPORT_TICKS = 10
-FAREWELL_MS = 100.0
 
 # Two members read the instance list often; the others only learn which names it shows.
 LISTING_MS = 10_000.0
@@ -54,8 +53,6 @@
         if self._loop is not None:
             self._loop.kill()
         self.execute(self._cell.end(self._instance.clock.now_ms()))
-        # The sockets are closed next, which drops what they have not sent yet.
-        gevent.sleep(FAREWELL_MS / 1000)
 
     def list_handlers(self) -> dict[type, Handler]:
         """Return the handlers of table messages."""
--- a/src/persimmonspur/model/query.py
+++ b/src/persimmonspur/model/query.py
@@ -39,7 +39,7 @@
     :param allow_partial: whether an answer with missing shards is acceptable.
     :param key: unit of the key space if one shard holds the answer.
     :param limit: most records in the answer; ``None`` for all.
-    :param first_attempt: whether the caller vouches that it never sent this id before.
+    :param first_attempt: whether the caller states that it never sent this id before.
     """
 
     service: str
