Do not let a silent instance delay the client's other queries

Cause: after a failure the client resolves again, and every query of that moment asked the first known address, which may be the frozen instance, for up to 1 s. Such queries ended as unreachable without having been sent.

One query now resolves at a time while the others use the known addresses; addresses that just failed come last and count as failed after 300 ms.

--- a/src/persimmonspur/client/client.py
+++ b/src/persimmonspur/client/client.py
@@ -16,7 +16,7 @@
 from persimmonspur.errors import ErrorKind, Ran
 
 CONNECTIONS = 32
-RESOLVE_TIMEOUT_MS = 1_000.0
+RESOLVE_TIMEOUT_MS = 300.0
 # Time beyond the query's own timeout that the client waits for the answer.
 GRACE_MS = 500.0
 # An instance that has not answered by this multiple of the 99th percentile is
@@ -70,24 +70,25 @@
         self._addresses: list[str] = []
         self._epoch = 0
         self._keep_until_ms = 0.0
+        self._resolving = False
         self._clients: dict[str, HTTPClient] = {}
         self._latencies = LatencyBook()
         self._budget = ExtraBudget()
         self._avoid_until_ms: dict[str, float] = {}
 
     def resolve(self) -> list[str]:
-        """Return the addresses to use, from the cache while it may be kept."""
-        if self._addresses and self._clock.now_ms() < self._keep_until_ms:
+        """Return the addresses to use, from the cache while it may be kept.
+
+        While one query asks, others go on with the addresses that are known.
+        """
+        fresh = self._clock.now_ms() < self._keep_until_ms
+        if self._addresses and (fresh or self._resolving):
             return self._addresses
-        known = [*self._addresses, *self._seeds]
-        for address in known:
-            document = self._get_json(address, "/v1/resolve", RESOLVE_TIMEOUT_MS)
-            if document is None or not document["addresses"]:
-                continue
-            self._addresses = document["addresses"]
-            self._epoch = document["epoch"]
-            self._keep_until_ms = self._clock.now_ms() + document["keep_ms"]
-            break
+        self._resolving = True
+        try:
+            self._refresh()
+        finally:
+            self._resolving = False
         return self._addresses or self._seeds
 
     def query(
@@ -179,6 +180,20 @@
             client.close()
         self._clients.clear()
 
+    def _refresh(self) -> None:
+        for address in self._order(list(dict.fromkeys([*self._addresses, *self._seeds]))):
+            document = self._get_json(address, "/v1/resolve", RESOLVE_TIMEOUT_MS)
+            now_ms = self._clock.now_ms()
+            if document is None:
+                self._avoid_until_ms[address] = now_ms + AVOID_MS
+                continue
+            if not document["addresses"]:
+                continue
+            self._addresses = document["addresses"]
+            self._epoch = document["epoch"]
+            self._keep_until_ms = now_ms + document["keep_ms"]
+            return
+
     def _order(self, addresses: list[str]) -> list[str]:
         """Return the addresses in random order, those that just failed last."""
         now_ms = self._clock.now_ms()
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -103,3 +103,22 @@
     second = client.query("s", "counter", 60_000.0)
     assert (second.error, second.attempts) == (None, 1)
     silent.stop()
+
+
+def test_a_silent_instance_delays_no_query_that_can_use_known_addresses(entry):
+    """Every query used to wait for the resolve call that the silent instance never answers."""
+    silent = StreamServer(("127.0.0.1", 0), lambda sock, address: gevent.sleep(30))
+    silent.start()
+    client = Client([entry.address])
+    client.resolve()
+    client._addresses = [f"127.0.0.1:{silent.server_port}"]
+    client._seeds = []
+    client._keep_until_ms = 0.0
+    asking = gevent.spawn(client.resolve)
+    gevent.sleep(0)
+    client._addresses = [entry.address]
+    entry.answers = [(None, "yes")]
+    assert client.query("s", "counter", 60_000.0).error is None
+    assert not asking.ready()
+    asking.kill()
+    silent.stop()
