--- a/src/persimmonspur/core/ownership/proposal.py
+++ b/src/persimmonspur/core/ownership/proposal.py
@@ -150,7 +150,7 @@
 
 def _record(former: Removal | None, member: Member) -> Removal:
     count = former.count if former is not None else 0
-    # A member that took its leave is not flapping.
+    # A member that announced that it leaves is not flapping.
     unexpected = member.state is not MemberState.LEAVING
     return Removal(member.incarnation, count + unexpected)
 
