--- /dev/null
+++ b/src/persimmonspur/core/fleet/answers.py
@@ -0,0 +1,24 @@
+"""How final answers are labelled; each edge has its own header names."""
+
+from typing import Protocol
+
+from persimmonspur.core.fleet.messages import EndpointReply, Headers, Part
+
+
+class AnswerFormat(Protocol):
+    """Headers of final answers."""
+
+    def format_reply(self, reply: EndpointReply) -> Headers:
+        """Return the headers with which an endpoint's own answer is passed on."""
+
+    def format_parts(self, parts: list[Part], missing: int) -> Headers:
+        """Return the headers of a merged answer.
+
+        :param missing: number of shards that are not in it.
+        """
+
+    def format_refusal(self, retry_after_ms: float) -> Headers:
+        """Return the headers of an answer that says the request did not run."""
+
+    def format_failure(self) -> Headers:
+        """Return the headers of an answer that leaves open whether the request ran."""
--- /dev/null
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -0,0 +1,132 @@
+"""The endpoints that exist, as the store and the endpoints themselves report them."""
+
+from collections.abc import Iterable
+
+from attrs import evolve, frozen
+
+# After an outage of the store, entries of live endpoints are back within two seconds.
+RETURN_MS = 2_200.0
+
+
+@frozen
+class Endpoint:
+    """One endpoint.
+
+    :param identity: names one lifetime; requests carry it so that another endpoint
+        at the same address does not run them.
+    :param address: ``ip:port``.
+    :param slots: requests that it runs concurrently.
+    :param draining: whether it announced its shutdown.
+    :param born_ms: Unix milliseconds of its start; 0 if it does not say.
+    :param cold_until_ms: end of its cold start in local time.
+    """
+
+    identity: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool = False
+    born_ms: int = 0
+    cold_until_ms: float = 0.0
+
+
+class EndpointDirectory:
+    """Endpoints by service, without those that drain or whose failure domain is evacuated."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, Endpoint] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        self._missing_since: dict[str, float] = {}
+        self._unreachable_store = False
+        self._usable: dict[str, tuple[Endpoint, ...]] = {}
+        self.known_once = False
+
+    def __len__(self) -> int:
+        """Return the number of known endpoints."""
+        return len(self._known)
+
+    def usable(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the endpoints of a service that may get new requests."""
+        return self._usable.get(service, ())
+
+    def get(self, identity: str) -> Endpoint | None:
+        """Return a known endpoint, also a draining one."""
+        return self._known.get(identity)
+
+    def identities(self) -> frozenset[str]:
+        """Return the identities of all known endpoints."""
+        return frozenset(self._known)
+
+    def replace_all(self, endpoints: Iterable[Endpoint], after_outage: bool, now_ms: float) -> None:
+        """Take a complete list.
+
+        :param after_outage: entries that the list lacks may come back; they stay in
+            use for :data:`RETURN_MS`.
+        """
+        listed = {endpoint.identity: endpoint for endpoint in endpoints}
+        if after_outage:
+            for identity, endpoint in self._known.items():
+                if identity not in listed:
+                    listed[identity] = endpoint
+                    self._missing_since.setdefault(identity, now_ms)
+        self._known = listed
+        self._missing_since = {
+            identity: since for identity, since in self._missing_since.items() if identity in listed
+        }
+        self.known_once = True
+        self._index()
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Add or change an endpoint."""
+        self._known[endpoint.identity] = endpoint
+        self._missing_since.pop(endpoint.identity, None)
+        self._index()
+
+    def remove(self, identity: str, after_outage: bool, now_ms: float) -> None:
+        """Remove an endpoint, after :data:`RETURN_MS` if the store has just come back."""
+        if identity not in self._known:
+            return
+        if after_outage:
+            self._missing_since.setdefault(identity, now_ms)
+            return
+        del self._known[identity]
+        self._missing_since.pop(identity, None)
+        self._index()
+
+    def expire(self, now_ms: float) -> list[str]:
+        """Remove endpoints whose entries did not come back.
+
+        :returns: their identities.
+        """
+        expired = []
+        for identity, since_ms in list(self._missing_since.items()):
+            if now_ms - since_ms < RETURN_MS:
+                continue
+            del self._missing_since[identity]
+            self._known.pop(identity, None)
+            expired.append(identity)
+        if expired:
+            self._index()
+        return expired
+
+    def mark_draining(self, identity: str) -> None:
+        """Note that an endpoint itself said that it is leaving."""
+        endpoint = self._known.get(identity)
+        if endpoint is None or endpoint.draining:
+            return
+        self._known[identity] = evolve(endpoint, draining=True)
+        self._index()
+
+    def evacuate(self, failure_domains: frozenset[str]) -> None:
+        """Set the failure domains whose endpoints get no requests."""
+        self._evacuated = failure_domains
+        self._index()
+
+    def _index(self) -> None:
+        usable: dict[str, list[Endpoint]] = {}
+        for endpoint in self._known.values():
+            if endpoint.draining or endpoint.failure_domain in self._evacuated:
+                continue
+            usable.setdefault(endpoint.service, []).append(endpoint)
+        self._usable = {service: tuple(endpoints) for service, endpoints in usable.items()}
--- /dev/null
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -0,0 +1,473 @@
+"""One client request from its route to its final answer.
+
+Holds no sockets and no clock of its own: sends, timers and time are handed in, so
+every decision can be tested without a network.
+"""
+
+import itertools
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.answers import AnswerFormat
+from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
+from persimmonspur.core.fleet.endpoints import Endpoint, EndpointDirectory
+from persimmonspur.core.fleet.latency import RouteLatencies
+from persimmonspur.core.fleet.merge import merge_greatest
+from persimmonspur.core.fleet.messages import (
+    ClientRequest,
+    EndpointReply,
+    FinalAnswer,
+    Part,
+    Send,
+    Sender,
+    SendFailure,
+    SendResult,
+    TimerHandle,
+    Timers,
+)
+from persimmonspur.core.fleet.routes import Route, RouteTable
+from persimmonspur.core.fleet.selection import ReplicaSelector
+from persimmonspur.errors import Ran
+
+# The final answer leaves this long before the deadline so that it arrives in time.
+ANSWER_MARGIN_MS = 15.0
+# Part of the latency objective after which a gather is answered without late shards.
+PARTIAL_PART = 0.9
+# Part of the objective after which a hedge is sent at the latest.
+HEDGE_LATEST_PART = 0.45
+HEDGE_EARLIEST_MS = 4.0
+# Time between hedges of shards that could not be hedged before.
+HEDGE_REPEAT_PART = 0.15
+# A non-idempotent request is not sent with less than this left.
+LEAST_SEND_MS = 5.0
+RETRY_AFTER_UNAVAILABLE_MS = 400.0
+RETRY_AFTER_FULL_MS = 250.0
+
+_attempt_numbers = itertools.count(1)
+
+
+@frozen
+class Attempt:
+    """One send to one endpoint."""
+
+    number: int
+    endpoint: Endpoint
+    hedge: bool
+    send: Send
+
+
+@define(eq=False)
+class Leg:
+    """The part of a request that goes to one service.
+
+    :param sent: sends that may have reached an endpoint.
+    :param tried: identities that this request was sent to.
+    """
+
+    service: str
+    sent: int = 0
+    tried: list[str] = field(factory=list)
+    running: dict[int, Attempt] = field(factory=dict)
+    part: Part | None = None
+    failed: bool = False
+    may_have_run: bool = False
+    last_reply: EndpointReply | None = None
+    reason: str = ""
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing more is expected."""
+        return self.failed or self.part is not None
+
+
+@frozen
+class Tier:
+    """What all requests of one instance share."""
+
+    clock: Clock
+    timers: Timers
+    sender: Sender
+    endpoints: EndpointDirectory
+    selector: ReplicaSelector
+    latencies: RouteLatencies
+    budget: RetryBudget
+    cold: ColdStartLimit
+    answers: AnswerFormat
+    on_decision: Callable[..., None]
+
+
+class Exchange:
+    """State of one request."""
+
+    def __init__(
+        self,
+        tier: Tier,
+        table: RouteTable,
+        route: Route,
+        services: tuple[str, ...],
+        request: ClientRequest,
+        respond: Callable[[FinalAnswer], None],
+    ) -> None:
+        """Prepare a request.
+
+        :param services: the shards, or the one service.
+        :param respond: called once with the answer, unless the client leaves first.
+        """
+        self._tier = tier
+        self._table = table
+        self._route = route
+        self._request = request
+        self._respond = respond
+        self._legs = [Leg(service) for service in services]
+        self._latency = tier.latencies.get(route.name, route.objective_ms)
+        self._expected_ms = max(0.5, self._latency.mean_service_ms)
+        wait_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            wait_ms = min(wait_ms, request.deadline_ms)
+        self._deadline_ms = request.arrived_ms + wait_ms
+        self._timers: list[TimerHandle] = []
+        self._done = False
+        self._partial_due = False
+        self._attempts = 0
+
+    @property
+    def done(self) -> bool:
+        """Whether the request was answered or its client left."""
+        return self._done
+
+    def start(self) -> None:
+        """Send to every service, or refuse if too few have a usable endpoint."""
+        now_ms = self._tier.clock.now_ms()
+        choices = [self._choose(leg, now_ms) for leg in self._legs]
+        if not self._suffices(sum(choice is not None for choice in choices)):
+            self._refuse("unavailable", RETRY_AFTER_UNAVAILABLE_MS)
+            return
+        left_ms = self._deadline_ms - now_ms - ANSWER_MARGIN_MS
+        if left_ms < LEAST_SEND_MS:
+            self._refuse("too_late", RETRY_AFTER_FULL_MS)
+            return
+        for leg, endpoint in zip(self._legs, choices, strict=True):
+            if endpoint is None:
+                self._fail_leg(leg, "no usable endpoint")
+                continue
+            self._tier.budget.note_first(leg.service, now_ms)
+            if not self._send(leg, endpoint, hedge=False):
+                self._send_elsewhere(leg, extra=False)
+        self._set_timers(now_ms, left_ms)
+        self._check()
+
+    def leave(self) -> None:
+        """Stop because the client closed its connection.
+
+        A request that must run at most once goes on at its endpoint; breaking it off
+        would only hide its outcome.
+        """
+        if self._done:
+            return
+        self._finish_timers()
+        self._done = True
+        if self._route.repeatable:
+            self._abandon_all()
+
+    def _set_timers(self, now_ms: float, left_ms: float) -> None:
+        if self._done:
+            return
+        timers = self._tier.timers
+        self._timers.append(timers.call_later(left_ms, self._expire))
+        if not self._route.repeatable:
+            return
+        objective_ms = self._route.objective_ms
+        hedge_ms = min(HEDGE_LATEST_PART * objective_ms, self._latency.p95_ms)
+        if self._route.max_attempts > 1:
+            delay_ms = max(HEDGE_EARLIEST_MS, hedge_ms)
+            self._timers.append(timers.call_later(delay_ms, self._hedge))
+        if self._route.gather is not None:
+            used_ms = now_ms - self._request.arrived_ms
+            delay_ms = max(0.0, PARTIAL_PART * objective_ms - used_ms)
+            self._timers.append(timers.call_later(delay_ms, self._allow_partial))
+
+    def _choose(self, leg: Leg, now_ms: float) -> Endpoint | None:
+        candidates = []
+        for endpoint in self._tier.endpoints.usable(leg.service):
+            if endpoint.identity in leg.tried:
+                continue
+            candidates.append(endpoint)
+        while candidates:
+            chosen = self._tier.selector.pick(candidates, self._expected_ms, now_ms)
+            if chosen is None:
+                return None
+            if self._may_use(chosen, now_ms):
+                return chosen
+            candidates.remove(chosen)
+        return None
+
+    def _may_use(self, endpoint: Endpoint, now_ms: float) -> bool:
+        if endpoint.cold_until_ms <= now_ms:
+            return True
+        limits = self._table.services.get(endpoint.service)
+        per_s = limits.cold_per_s if limits is not None else 0.0
+        return self._tier.cold.take(endpoint.identity, per_s, now_ms)
+
+    def _send(self, leg: Leg, endpoint: Endpoint, hedge: bool) -> bool:
+        now_ms = self._tier.clock.now_ms()
+        number = next(_attempt_numbers)
+        left_ms = self._deadline_ms - now_ms - ANSWER_MARGIN_MS
+        if left_ms < LEAST_SEND_MS:
+            return False
+
+        def take_result(result: SendResult) -> None:
+            self._take_result(leg, number, result)
+
+        send = self._tier.sender.send(endpoint, self._request, left_ms, take_result)
+        leg.tried.append(endpoint.identity)
+        if send is None:
+            return False
+        leg.running[number] = Attempt(number, endpoint, hedge, send)
+        leg.sent += 1
+        self._attempts += 1
+        self._tier.selector.note_sent(endpoint.identity, number, now_ms)
+        return True
+
+    def _send_elsewhere(self, leg: Leg, extra: bool) -> None:
+        """Send a leg again after a send that failed.
+
+        :param extra: whether the service sees it as a repeated send.
+        """
+        now_ms = self._tier.clock.now_ms()
+        while leg.sent < self._route.max_attempts:
+            endpoint = self._choose(leg, now_ms)
+            if endpoint is None:
+                break
+            if extra and not self._tier.budget.take(leg.service, now_ms, hedge=False):
+                leg.reason += "; retry budget spent"
+                break
+            if self._send(leg, endpoint, hedge=False):
+                return
+        if not leg.running:
+            self._fail_leg(leg, leg.reason or "no other endpoint")
+
+    def _take_result(self, leg: Leg, number: int, result: SendResult) -> None:
+        attempt = leg.running.pop(number, None)
+        if attempt is None:
+            return
+        now_ms = self._tier.clock.now_ms()
+        if isinstance(result, SendFailure):
+            self._take_failure(leg, attempt, result, now_ms)
+        else:
+            self._take_reply(leg, attempt, result, now_ms)
+        if not self._done:
+            self._check()
+
+    def _take_failure(
+        self, leg: Leg, attempt: Attempt, failure: SendFailure, now_ms: float
+    ) -> None:
+        self._tier.selector.note_failed(attempt.endpoint.identity, attempt.number, now_ms)
+        leg.reason = f"{attempt.endpoint.identity}: {failure.reason}"
+        if failure.ran is Ran.NO:
+            leg.sent -= 1
+        else:
+            leg.may_have_run = True
+        if leg.settled or self._done:
+            return
+        self._tier.on_decision(
+            "send_failed",
+            request_id=self._request.request_id,
+            endpoint=attempt.endpoint.identity,
+            ran=failure.ran.value,
+            reason=failure.reason,
+        )
+        self._recover(leg, arrived=failure.ran is not Ran.NO)
+
+    def _take_reply(self, leg: Leg, attempt: Attempt, reply: EndpointReply, now_ms: float) -> None:
+        identity = attempt.endpoint.identity
+        selector = self._tier.selector
+        if reply.load is not None:
+            selector.note_load(identity, reply.load[0], reply.load[1], now_ms)
+        if reply.wrong_instance:
+            selector.note_failed(identity, attempt.number, now_ms)
+            # The endpoint at this address is another one, so no endpoint of the
+            # service has seen the request.
+            leg.sent -= 1
+            leg.reason = f"{identity}: another endpoint has its address"
+            if not (leg.settled or self._done):
+                self._recover(leg, arrived=True)
+            return
+        if reply.ran is Ran.NO:
+            selector.note_rejected(identity, attempt.number, now_ms)
+            leg.reason = f"{identity}: rejected with status {reply.status}"
+            if not (leg.settled or self._done):
+                self._recover(leg, arrived=True)
+            return
+        started_ms = selector.state(identity).outstanding.get(attempt.number, now_ms)
+        failed = reply.status >= 500
+        selector.note_answered(identity, attempt.number, self._expected_ms, failed, now_ms)
+        leg.may_have_run = True
+        if not failed:
+            self._latency.observe(now_ms - started_ms, now_ms)
+            self._latency.observe_service(now_ms - started_ms)
+        if leg.settled or self._done:
+            return
+        leg.last_reply = reply
+        if 200 <= reply.status < 300:
+            leg.part = Part(leg.service, reply.stamp, reply.body)
+            return
+        leg.reason = f"{identity}: status {reply.status}"
+        if reply.status < 500:
+            # Another endpoint of the service would answer the same.
+            self._fail_leg(leg, leg.reason)
+            return
+        self._recover(leg, arrived=True)
+
+    def _recover(self, leg: Leg, arrived: bool) -> None:
+        if leg.running:
+            return
+        if leg.may_have_run and not self._route.repeatable:
+            self._fail_leg(leg, leg.reason)
+            return
+        self._send_elsewhere(leg, extra=arrived)
+
+    def _fail_leg(self, leg: Leg, reason: str) -> None:
+        leg.failed = True
+        leg.reason = reason
+
+    def _hedge(self) -> None:
+        if self._done:
+            return
+        now_ms = self._tier.clock.now_ms()
+        waiting = False
+        for leg in self._legs:
+            if leg.settled or not leg.running or leg.sent >= self._route.max_attempts:
+                continue
+            if not self._hedge_leg(leg, now_ms):
+                waiting = True
+        if waiting:
+            delay_ms = HEDGE_REPEAT_PART * self._route.objective_ms
+            self._timers.append(self._tier.timers.call_later(delay_ms, self._hedge))
+
+    def _hedge_leg(self, leg: Leg, now_ms: float) -> bool:
+        endpoint = self._choose(leg, now_ms)
+        if endpoint is None:
+            return False
+        if not self._tier.budget.take(leg.service, now_ms, hedge=True):
+            return False
+        return self._send(leg, endpoint, hedge=True)
+
+    def _allow_partial(self) -> None:
+        self._partial_due = True
+        if not self._done:
+            self._check()
+
+    def _expire(self) -> None:
+        if self._done:
+            return
+        if self._route.gather is not None and self._suffices(self._covered()):
+            self._answer_gather("partial")
+            return
+        if any(leg.sent or leg.may_have_run for leg in self._legs):
+            self._give_up("timeout", 504)
+        else:
+            self._refuse("timeout_unsent", RETRY_AFTER_FULL_MS)
+
+    def _check(self) -> None:
+        """Answer if nothing better can come."""
+        if self._done:
+            return
+        if self._route.gather is None:
+            self._check_single(self._legs[0])
+            return
+        covered = self._covered()
+        if covered == len(self._legs):
+            self._answer_gather("complete")
+            return
+        possible = sum(not leg.failed for leg in self._legs)
+        if not self._suffices(possible):
+            self._fail("failed")
+            return
+        unsettled = any(not leg.settled for leg in self._legs)
+        if self._suffices(covered) and (self._partial_due or not unsettled):
+            self._answer_gather("partial")
+
+    def _check_single(self, leg: Leg) -> None:
+        if leg.part is not None:
+            self._answer_reply(leg, "complete")
+            return
+        if leg.failed:
+            self._fail("failed")
+
+    def _covered(self) -> int:
+        return sum(leg.part is not None for leg in self._legs)
+
+    def _suffices(self, shards: int) -> bool:
+        gather = self._route.gather
+        if gather is None:
+            return shards > 0
+        return shards > 0 and shards >= gather.min_share * len(self._legs) - 1e-9
+
+    def _fail(self, outcome: str) -> None:
+        if not any(leg.may_have_run or leg.running for leg in self._legs):
+            self._refuse(outcome, RETRY_AFTER_FULL_MS)
+            return
+        leg = self._legs[0]
+        if self._route.gather is None and leg.last_reply is not None and leg.last_reply.stamp:
+            self._answer_reply(leg, "endpoint_error")
+            return
+        self._give_up(outcome, 502)
+
+    def _answer_reply(self, leg: Leg, outcome: str) -> None:
+        assert leg.last_reply is not None
+        reply = leg.last_reply
+        headers = self._tier.answers.format_reply(reply)
+        self._finish(FinalAnswer(reply.status, headers, reply.body, outcome, 1, 1))
+
+    def _answer_gather(self, outcome: str) -> None:
+        gather = self._route.gather
+        assert gather is not None
+        parts = [leg.part for leg in self._legs if leg.part is not None]
+        body = merge_greatest((part.body for part in parts), gather.top_records)
+        headers = self._tier.answers.format_parts(parts, len(self._legs) - len(parts))
+        answer = FinalAnswer(200, headers, body, outcome, len(parts), len(self._legs))
+        self._finish(answer)
+
+    def _refuse(self, outcome: str, retry_after_ms: float) -> None:
+        headers = self._tier.answers.format_refusal(retry_after_ms)
+        body = b"not run: " + outcome.encode()
+        self._finish(FinalAnswer(503, headers, body, outcome, 0, len(self._legs)))
+
+    def _give_up(self, outcome: str, status: int) -> None:
+        body = b"outcome unknown: " + outcome.encode()
+        headers = self._tier.answers.format_failure()
+        self._finish(FinalAnswer(status, headers, body, outcome, self._covered(), len(self._legs)))
+
+    def _finish(self, answer: FinalAnswer) -> None:
+        self._done = True
+        self._finish_timers()
+        reasons = "; ".join(leg.reason for leg in self._legs if leg.reason)
+        self._respond(
+            FinalAnswer(
+                answer.status,
+                answer.headers,
+                answer.body,
+                answer.outcome,
+                answer.covered,
+                answer.total,
+                self._attempts,
+                reasons,
+            )
+        )
+
+    def _finish_timers(self) -> None:
+        for timer in self._timers:
+            timer.cancel()
+        self._timers.clear()
+
+    def _abandon_all(self) -> None:
+        now_ms = self._tier.clock.now_ms()
+        for leg in self._legs:
+            for attempt in leg.running.values():
+                self._tier.selector.note_abandoned(
+                    attempt.endpoint.identity, attempt.number, self._expected_ms, now_ms
+                )
+                attempt.send.abandon()
+            leg.running.clear()
--- /dev/null
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -0,0 +1,138 @@
+"""Requests, answers and send results of the direct path."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from attrs import field, frozen
+
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.errors import Ran
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@frozen
+class ClientRequest:
+    """One client attempt.
+
+    :param request_id: unique per client attempt.
+    :param target: path and query as the client sent them.
+    :param headers: without those of the connection.
+    :param deadline_ms: how long the client waits, from ``arrived_ms``; ``None`` if unknown.
+    :param arrived_ms: local time at which the request was complete.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    deadline_ms: float | None
+    arrived_ms: float
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@frozen
+class EndpointReply:
+    """A complete response of an endpoint to this attempt.
+
+    :param stamp: the endpoint's proof that it ran the request; empty if it gave none.
+    :param ran: whether the response says that the request did not run.
+    :param wrong_instance: whether another endpoint has the address now.
+    :param draining: whether the endpoint says that it is leaving.
+    :param load: running and waiting requests, if it says so.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    stamp: str
+    ran: Ran
+    wrong_instance: bool = False
+    load: tuple[int, int] | None = None
+
+
+@frozen
+class SendFailure:
+    """A send that ended without a response.
+
+    :param ran: ``NO`` only if the request certainly did not reach the endpoint.
+    """
+
+    ran: Ran
+    reason: str
+
+
+SendResult = EndpointReply | SendFailure
+
+
+class Send(Protocol):
+    """A request on its way to an endpoint."""
+
+    def abandon(self) -> None:
+        """Stop waiting and close the connection; no result is delivered."""
+
+
+class Sender(Protocol):
+    """Sends requests to endpoints."""
+
+    def send(
+        self,
+        endpoint: Endpoint,
+        request: ClientRequest,
+        timeout_ms: float,
+        on_result: Callable[[SendResult], None],
+    ) -> Send | None:
+        """Send a request.
+
+        :param timeout_ms: time that the endpoint may take; a failure follows soon after.
+        :param on_result: called once, not before this method returns.
+        :returns: ``None`` if all connections that this instance may open are in use.
+        """
+
+
+class TimerHandle(Protocol):
+    """A timer that was set."""
+
+    def cancel(self) -> None:
+        """Prevent the call; idempotent."""
+
+
+class Timers(Protocol):
+    """Sets timers."""
+
+    def call_later(self, delay_ms: float, function: Callable[[], None]) -> TimerHandle:
+        """Call a function once after a delay in milliseconds."""
+
+
+@frozen
+class FinalAnswer:
+    """What the client gets.
+
+    :param outcome: one word for logs and metrics.
+    :param covered: shards in the answer.
+    :param total: shards of the route; 1 without a gather.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    outcome: str
+    covered: int = 0
+    total: int = 0
+    attempts: int = 0
+    reason: str = ""
+
+
+@frozen
+class Part:
+    """The answer of one shard."""
+
+    service: str
+    stamp: str
+    body: bytes = field(repr=False)
--- /dev/null
+++ b/src/persimmonspur/core/fleet/selection.py
@@ -0,0 +1,169 @@
+"""Which replica a request goes to, from what this instance sees itself.
+
+Answers the load of many replicas that differ in speed, pause for a moment and
+turn slow: the expected latency counts the age of unanswered requests, so a
+pausing replica is left after its first overdue request.
+"""
+
+import math
+import random
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from persimmonspur.core.fleet.endpoints import Endpoint
+
+SAMPLE_WEIGHT = 0.25
+# A replica that is not used is assumed to become normal again with this time constant.
+FORGET_MS = 2_500.0
+# The reported load of other instances says little after this time.
+LOAD_FORGET_MS = 300.0
+# An unanswered request counts as overdue beyond this multiple of the expected latency.
+OVERDUE_RATIO = 1.5
+ERROR_WEIGHT = 0.2
+ERROR_PENALTY = 6.0
+FAILURE_BACKOFF_MS = 250.0
+FAILURE_BACKOFF_MAX_MS = 3_000.0
+# Expected latency of a replica in another failure domain relative to a local one.
+REMOTE_FACTOR = 1.1
+JITTER = 0.05
+# Latency samples are cut at this multiple so that one pause does not ban a replica.
+SAMPLE_MAX = 8.0
+
+
+@define(eq=False)
+class ReplicaState:
+    """What this instance knows of one endpoint.
+
+    :param outstanding: start times of unanswered requests by attempt, oldest first.
+    :param factor: latency relative to the typical one of the service.
+    """
+
+    outstanding: dict[int, float] = field(factory=dict)
+    factor: float = 1.0
+    sampled_ms: float = 0.0
+    others_load: float = 0.0
+    load_ms: float = 0.0
+    error_rate: float = 0.0
+    failures: int = 0
+    blocked_until_ms: float = 0.0
+
+
+class ReplicaSelector:
+    """Estimates each replica's latency and picks the best."""
+
+    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._states: dict[str, ReplicaState] = {}
+
+    def state(self, identity: str) -> ReplicaState:
+        """Return the state of an endpoint, a new one if there is none."""
+        state = self._states.get(identity)
+        if state is None:
+            state = self._states[identity] = ReplicaState()
+        return state
+
+    def pick(
+        self, candidates: Iterable[Endpoint], expected_ms: float, now_ms: float
+    ) -> Endpoint | None:
+        """Return the replica with the least expected latency.
+
+        :param expected_ms: typical latency of this kind of request.
+        :returns: ``None`` if all candidates are blocked after failures.
+        """
+        best = None
+        best_score = math.inf
+        for endpoint in candidates:
+            score = self._score(endpoint, expected_ms, now_ms)
+            if score < best_score:
+                best = endpoint
+                best_score = score
+        return best
+
+    def _score(self, endpoint: Endpoint, expected_ms: float, now_ms: float) -> float:
+        state = self.state(endpoint.identity)
+        if now_ms < state.blocked_until_ms:
+            return math.inf
+        factor = 1.0 + (state.factor - 1.0) * math.exp((state.sampled_ms - now_ms) / FORGET_MS)
+        load = float(len(state.outstanding))
+        if state.outstanding:
+            oldest_ms = next(iter(state.outstanding.values()))
+            overdue = (now_ms - oldest_ms) / expected_ms
+            if overdue > OVERDUE_RATIO * factor:
+                factor = max(factor, 2.0 * overdue)
+        if state.others_load > 0:
+            load += state.others_load * math.exp((state.load_ms - now_ms) / LOAD_FORGET_MS)
+        slots = max(1, endpoint.slots)
+        score = factor * (1.0 + 0.3 * load / slots + max(0.0, load + 1 - slots) / slots)
+        score *= 1.0 + ERROR_PENALTY * state.error_rate
+        if endpoint.cold_until_ms > now_ms:
+            score *= 1.6
+        if endpoint.failure_domain != self._failure_domain:
+            score *= REMOTE_FACTOR
+        return score * (1.0 + JITTER * self._rng.random())
+
+    def note_sent(self, identity: str, attempt: int, now_ms: float) -> None:
+        """Count a request as unanswered."""
+        self.state(identity).outstanding[attempt] = now_ms
+
+    def note_answered(
+        self, identity: str, attempt: int, expected_ms: float, failed: bool, now_ms: float
+    ) -> None:
+        """Take the latency of an answer.
+
+        :param failed: whether the answer is an error of the endpoint.
+        """
+        state = self.state(identity)
+        started_ms = state.outstanding.pop(attempt, now_ms)
+        state.failures = 0
+        state.blocked_until_ms = 0.0
+        state.error_rate += ERROR_WEIGHT * (float(failed) - state.error_rate)
+        if not failed:
+            self._sample(state, (now_ms - started_ms) / expected_ms, now_ms)
+
+    def note_failed(self, identity: str, attempt: int, now_ms: float) -> None:
+        """Take a broken or refused connection; the endpoint rests for a while."""
+        state = self.state(identity)
+        state.outstanding.pop(attempt, None)
+        state.failures += 1
+        rest_ms = min(FAILURE_BACKOFF_MAX_MS, FAILURE_BACKOFF_MS * 2 ** (state.failures - 1))
+        state.blocked_until_ms = now_ms + rest_ms * (0.75 + 0.5 * self._rng.random())
+
+    def note_rejected(self, identity: str, attempt: int, now_ms: float) -> None:
+        """Take an answer that says the request did not run; the endpoint is full."""
+        state = self.state(identity)
+        state.outstanding.pop(attempt, None)
+        state.error_rate += ERROR_WEIGHT * (1.0 - state.error_rate)
+        state.load_ms = now_ms
+
+    def note_abandoned(
+        self, identity: str, attempt: int, expected_ms: float, now_ms: float
+    ) -> None:
+        """Forget an unanswered request; its age is a lower bound of the latency."""
+        state = self.state(identity)
+        started_ms = state.outstanding.pop(attempt, now_ms)
+        ratio = (now_ms - started_ms) / expected_ms
+        if ratio > OVERDUE_RATIO * state.factor:
+            self._sample(state, ratio, now_ms)
+
+    def note_load(self, identity: str, running: int, waiting: int, now_ms: float) -> None:
+        """Take the load that an endpoint reports with an answer."""
+        state = self.state(identity)
+        state.others_load = max(0.0, running + waiting - 1.0 - len(state.outstanding))
+        state.load_ms = now_ms
+
+    def forget(self, identities: frozenset[str]) -> None:
+        """Drop the state of endpoints that no longer exist.
+
+        :param identities: the endpoints that exist.
+        """
+        for identity in list(self._states):
+            if identity not in identities and not self._states[identity].outstanding:
+                del self._states[identity]
+
+    def _sample(self, state: ReplicaState, ratio: float, now_ms: float) -> None:
+        ratio = min(ratio, SAMPLE_MAX)
+        past = 1.0 + (state.factor - 1.0) * math.exp((state.sampled_ms - now_ms) / FORGET_MS)
+        state.factor = past + SAMPLE_WEIGHT * (ratio - past)
+        state.sampled_ms = now_ms
--- a/src/persimmonspur/daemon/events.py
+++ b/src/persimmonspur/daemon/events.py
@@ -1,42 +1,6 @@
-"""Numbered log events."""
-
-from attrs import frozen
-
-
-@frozen
-class EventType:
-    """One kind of log event.
-
-    :param number: unique; shown as ``PS`` and four digits.
-    :param level: loguru level.
-    :param text: what happened, with the names of its fields in braces.
-    """
-
-    number: int
-    name: str
-    level: str
-    text: str
-
-    @property
-    def code(self) -> str:
-        """The form that logs and the catalogue show."""
-        return f"PS{self.number}"
-
-
-CATALOGUE: dict[int, EventType] = {}
-
-
-def define_event(number: int, name: str, level: str, text: str) -> EventType:
-    """Add an event to the catalogue.
-
-    :raises ValueError: if the number is taken.
-    """
-    if number in CATALOGUE:
-        raise ValueError(f"event number {number} is taken by {CATALOGUE[number].name}")
-    event = EventType(number, name, level, text)
-    CATALOGUE[number] = event
-    return event
+"""Events of the product's own daemon."""
 
+from persimmonspur.events import define_event
 
 STARTED = define_event(1001, "started", "INFO", "instance {instance} serves on {address}")
 STOPPING = define_event(1002, "stopping", "INFO", "instance {instance} stops")
--- a/src/persimmonspur/daemon/timeline.py
+++ b/src/persimmonspur/daemon/timeline.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from persimmonspur.clock import Clock
-from persimmonspur.daemon.events import EventType
+from persimmonspur.events import EventType
 
 RING_EVENTS = 20_000
 
--- /dev/null
+++ b/src/persimmonspur/entry/calls.py
@@ -0,0 +1,64 @@
+"""HTTP calls that a greenlet waits for."""
+
+from expression import Error, Ok, Result
+from gevent.event import AsyncResult
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.messages import Timers
+from persimmonspur.entry.connections import Call, ConnectionPool
+from persimmonspur.entry.responses import HttpResponse
+from persimmonspur.errors import ErrorKind, Failure, Ran
+
+CONNECTIONS = 8
+
+
+class HttpCaller:
+    """Calls one address over kept connections.
+
+    :ivar calls: number of calls so far.
+    """
+
+    def __init__(self, address: str, clock: Clock, timers: Timers) -> None:
+        """Connect lazily.
+
+        :param address: ``ip:port``.
+        """
+        self._address = address
+        self._pool = ConnectionPool(address, CONNECTIONS, clock, timers)
+        self._waiting: set[Call] = set()
+        self.calls = 0
+
+    def call(
+        self, method: str, path: str, body: bytes, timeout_ms: float
+    ) -> Result[HttpResponse, Failure]:
+        """Call and wait for the response.
+
+        :param timeout_ms: longest wait.
+        :returns: any response, whatever its status.
+        """
+        self.calls += 1
+        outcome: AsyncResult[Result[HttpResponse, Failure]] = AsyncResult()
+        call = Call(
+            self._format(method, path, body),
+            lambda response: True,
+            lambda response: outcome.set(Ok(response)),
+            lambda ran, reason: outcome.set(Error(_describe(method, path, ran, reason))),
+        )
+        if not self._pool.start(call, timeout_ms):
+            return Error(_describe(method, path, Ran.NO, "all connections are in use"))
+        result = outcome.get()
+        assert result is not None
+        return result
+
+    def _format(self, method: str, path: str, body: bytes) -> bytes:
+        lines = [f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n".encode()]
+        if body:
+            lines.append(b"Content-Type: application/json\r\n")
+            lines.append(b"Content-Length: %d\r\n" % len(body))
+        lines.append(b"\r\n")
+        lines.append(body)
+        return b"".join(lines)
+
+
+def _describe(method: str, path: str, ran: Ran, reason: str) -> Failure:
+    return Failure.of(ErrorKind.STORE_UNAVAILABLE, f"{method} {path}: {reason}", ran)
--- /dev/null
+++ b/src/persimmonspur/entry/connections.py
@@ -0,0 +1,276 @@
+"""Kept connections from this instance to HTTP servers: endpoints and the store."""
+
+import socket
+from collections.abc import Callable
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.messages import TimerHandle, Timers
+from persimmonspur.entry.responses import HttpResponse, ResponseReader
+from persimmonspur.entry.sockets import Connector, Stream
+from persimmonspur.errors import Ran
+
+CONNECT_TIMEOUT_MS = 500.0
+# A kept connection is not used in the last part of the idle time that its peer states.
+IDLE_PART = 0.5
+DEFAULT_IDLE_MS = 20_000.0
+
+Accepts = Callable[[HttpResponse], bool]
+OnResponse = Callable[[HttpResponse], None]
+OnFailure = Callable[[Ran, str], None]
+
+
+class Call:
+    """One request and its wait for the response."""
+
+    def __init__(
+        self, data: bytes, accepts: Accepts, on_response: OnResponse, on_failure: OnFailure
+    ) -> None:
+        """Describe a call.
+
+        :param accepts: whether a response belongs to this request; others are skipped.
+        """
+        self.data = data
+        self.accepts = accepts
+        self.on_response = on_response
+        self.on_failure = on_failure
+        self.connection: Connection | None = None
+        self.timer: TimerHandle | None = None
+        self.over = False
+
+    def abandon(self) -> None:
+        """Close the connection; neither callback is called."""
+        if self.over:
+            return
+        self._end()
+        if self.connection is not None:
+            self.connection.close()
+
+    def succeed(self, response: HttpResponse) -> None:
+        """Deliver the response."""
+        if self.over:
+            return
+        self._end()
+        self.on_response(response)
+
+    def fail(self, ran: Ran, reason: str) -> None:
+        """Deliver a failure."""
+        if self.over:
+            return
+        self._end()
+        self.on_failure(ran, reason)
+
+    def time_out(self) -> None:
+        """End the call because its time is over."""
+        if self.over:
+            return
+        connection = self.connection
+        sent = connection is not None and connection.sent
+        if connection is not None:
+            connection.close()
+        self.fail(Ran.UNKNOWN if sent else Ran.NO, "no response in time")
+
+    def _end(self) -> None:
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+
+
+class Connection:
+    """One connection, used by one call at a time.
+
+    It is used again only if its last response was complete, belonged to its request,
+    kept the connection and left nothing to read.
+
+    :ivar sent: whether the request of the present call may have been sent.
+    """
+
+    def __init__(self, pool: "ConnectionPool", call: Call) -> None:
+        self._pool = pool
+        self._call: Call | None = call
+        self._stream: Stream | None = None
+        self._reader = ResponseReader(self._take_response)
+        self._suspect = False
+        self.sent = False
+        self.idle_until_ms = 0.0
+        call.connection = self
+        self._connector: Connector | None = Connector(
+            pool.address, self._take_socket, self._take_refusal
+        )
+        self._connect_timer: TimerHandle | None = pool.timers.call_later(
+            CONNECT_TIMEOUT_MS, self._time_out_connecting
+        )
+
+    def start(self, call: Call) -> bool:
+        """Send the next request.
+
+        :returns: whether the connection could be used.
+        """
+        stream = self._stream
+        if stream is None or stream.closed:
+            return False
+        if self._pool.clock.now_ms() > self.idle_until_ms or stream.has_unread():
+            self.close()
+            return False
+        call.connection = self
+        self._call = call
+        self._write(call)
+        return True
+
+    def close(self) -> None:
+        """Close the connection; idempotent. The present call gets no result."""
+        self._call = None
+        if self._connector is not None:
+            self._connector.cancel()
+            self._connector = None
+        self._stop_connect_timer()
+        if self._stream is not None:
+            self._stream.close()
+        self._pool.forget(self)
+
+    def _take_socket(self, sock: socket.socket) -> None:
+        self._connector = None
+        self._stop_connect_timer()
+        self._stream = Stream(sock, self._take_data, self._take_end)
+        call = self._call
+        if call is None:
+            self.close()
+            return
+        self._write(call)
+
+    def _write(self, call: Call) -> None:
+        assert self._stream is not None
+        self.sent = True
+        self._stream.write(call.data)
+
+    def _take_refusal(self, reason: str) -> None:
+        self._connector = None
+        self._stop_connect_timer()
+        self._fail(Ran.NO, f"cannot connect: {reason}")
+
+    def _time_out_connecting(self) -> None:
+        self._connect_timer = None
+        self._fail(Ran.NO, "cannot connect in time")
+
+    def _stop_connect_timer(self) -> None:
+        if self._connect_timer is not None:
+            self._connect_timer.cancel()
+            self._connect_timer = None
+
+    def _take_data(self, data: bytes) -> None:
+        if self._call is None:
+            # Bytes between requests belong to no request.
+            self.close()
+            return
+        self._reader.feed(data)
+        if self._reader.broken and self._stream is not None and not self._stream.closed:
+            self._fail(Ran.UNKNOWN, self._reader.broken)
+
+    def _take_end(self, reason: str) -> None:
+        if not reason and self._call is not None and self._reader.finish():
+            return
+        self._fail(Ran.UNKNOWN, reason or "the peer closed the connection")
+
+    def _take_response(self, response: HttpResponse) -> None:
+        call = self._call
+        if call is None:
+            self.close()
+            return
+        if not call.accepts(response):
+            # An extra response to an earlier request; its own may still follow.
+            self._suspect = True
+            return
+        self._call = None
+        self.sent = False
+        stream = self._stream
+        clean = (
+            response.keep_alive
+            and not self._suspect
+            and not self._reader.broken
+            and not self._reader.in_message
+            and stream is not None
+            and not stream.closed
+            and not stream.unsent
+        )
+        idle_ms = read_idle_timeout(response) * IDLE_PART
+        if clean and idle_ms > 0:
+            self.idle_until_ms = self._pool.clock.now_ms() + idle_ms
+            self._pool.keep(self)
+        else:
+            self.close()
+        call.succeed(response)
+
+    def _fail(self, ran: Ran, reason: str) -> None:
+        call = self._call
+        self.close()
+        if call is not None:
+            call.fail(ran, reason)
+
+
+class ConnectionPool:
+    """Connections to one address.
+
+    :ivar limit: most connections at once.
+    """
+
+    def __init__(self, address: str, limit: int, clock: Clock, timers: Timers) -> None:
+        """Connect lazily.
+
+        :param address: ``ip:port``.
+        """
+        self.address = address
+        self.limit = limit
+        self.clock = clock
+        self.timers = timers
+        self.opened = 0
+        self._all: set[Connection] = set()
+        self._idle: list[Connection] = []
+
+    def start(self, call: Call, timeout_ms: float) -> bool:
+        """Send a request on a kept connection or a new one.
+
+        :param timeout_ms: time until the call fails without a response.
+        :returns: whether the limit of connections left room.
+        """
+        while self._idle:
+            if self._idle.pop().start(call):
+                break
+        else:
+            if len(self._all) >= self.limit:
+                return False
+            self.opened += 1
+            self._all.add(Connection(self, call))
+        if not call.over:
+            call.timer = self.timers.call_later(timeout_ms, call.time_out)
+        return True
+
+    def keep(self, connection: Connection) -> None:
+        """Take back a connection that can be used again."""
+        self._idle.append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        """Drop a closed connection."""
+        self._all.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def close_idle(self) -> None:
+        """Close the connections that no call uses."""
+        for connection in list(self._idle):
+            connection.close()
+
+    @property
+    def in_use(self) -> int:
+        """Connections with a call."""
+        return len(self._all) - len(self._idle)
+
+
+def read_idle_timeout(response: HttpResponse) -> float:
+    """Return how long the peer keeps an idle connection, in milliseconds."""
+    for name, value in response.headers:
+        if name.lower() != b"keep-alive":
+            continue
+        for item in value.split(b","):
+            key, _, text = item.strip().partition(b"=")
+            if key.lower() == b"timeout" and text.strip().isdigit():
+                return float(text) * 1000
+    return DEFAULT_IDLE_MS
--- /dev/null
+++ b/src/persimmonspur/entry/feeds.py
@@ -0,0 +1,155 @@
+"""Follows one kind of object in the store by a list and then watches."""
+
+import random
+from collections.abc import Callable
+from typing import Generic, Protocol, TypeVar
+
+import gevent
+from attrs import field, frozen
+from expression import Result
+
+from persimmonspur.clock import Clock
+from persimmonspur.errors import ErrorKind, Failure
+
+T = TypeVar("T")
+
+WATCH_MS = 20_000.0
+BACKOFF_FIRST_MS = 150.0
+BACKOFF_MAX_MS = 1_500.0
+# Removals within this time after an outage may be entries that lapsed meanwhile.
+RECOVERY_MS = 2_500.0
+
+
+@frozen
+class Snapshot(Generic[T]):
+    """All objects of a kind.
+
+    :param rejected: entries that cannot be used, with the reasons.
+    """
+
+    items: dict[str, T]
+    revision: int
+    rejected: tuple[Failure, ...] = ()
+
+
+@frozen
+class Updates(Generic[T]):
+    """Changes since a revision; a removed object is ``None``."""
+
+    changes: tuple[tuple[str, T | None], ...]
+    revision: int
+    rejected: tuple[Failure, ...] = field(default=())
+
+
+class Source(Protocol[T]):
+    """Lists and watches one kind of object."""
+
+    def list(self) -> Result[Snapshot[T], Failure]:
+        """Return all objects."""
+
+    def watch(self, revision: int, wait_ms: float) -> Result[Updates[T], Failure]:
+        """Wait for changes; ``CONFLICT`` means that the history is gone."""
+
+
+class Feed(Generic[T]):
+    """Keeps one kind of object up to date.
+
+    :ivar revision: of the newest state that was applied.
+    :ivar reached_ms: local time of the last successful call.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        source: Source[T],
+        on_snapshot: Callable[[Snapshot[T], bool], None],
+        on_updates: Callable[[Updates[T], bool], None],
+        on_store: Callable[[str, Failure | None], None],
+        clock: Clock,
+        rng: random.Random,
+        pause_ms: float = 0.0,
+    ) -> None:
+        """Describe a feed.
+
+        :param on_snapshot: takes a list, and whether the store was away before.
+        :param on_updates: takes changes, and whether the store was away before.
+        :param on_store: told of a failed call, or of the first good one after it.
+        :param pause_ms: rest after changes, so that a burst of them costs few calls.
+        """
+        self.name = name
+        self._source = source
+        self._on_snapshot = on_snapshot
+        self._on_updates = on_updates
+        self._on_store = on_store
+        self._clock = clock
+        self._rng = rng
+        self._pause_ms = pause_ms
+        self._greenlet: gevent.Greenlet[[], None] | None = None
+        self._backoff_ms = 0.0
+        self._recovered_ms = -RECOVERY_MS
+        self.revision = 0
+        self.reached_ms = 0.0
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._greenlet = gevent.spawn(self._follow)
+
+    def stop(self) -> None:
+        """Stop; idempotent."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+            self._greenlet = None
+
+    def restart(self) -> None:
+        """List again because the present watch has missed something."""
+        self.stop()
+        self.revision = 0
+        self.start()
+
+    def _follow(self) -> None:
+        while True:
+            if self.revision:
+                self._watch_once()
+            else:
+                self._list_once()
+
+    def _list_once(self) -> None:
+        listed = self._source.list()
+        if listed.is_error():
+            self._back_off(listed.error)
+            return
+        self._note_reached()
+        self._on_snapshot(listed.ok, self._is_recovering())
+        self.revision = listed.ok.revision
+
+    def _watch_once(self) -> None:
+        # The spread keeps instances that started together from calling together.
+        wait_ms = WATCH_MS * (0.75 + 0.25 * self._rng.random())
+        watched = self._source.watch(self.revision, wait_ms)
+        if watched.is_error():
+            if watched.error.kind is ErrorKind.CONFLICT:
+                self.revision = 0
+                return
+            self._back_off(watched.error)
+            return
+        self._note_reached()
+        if watched.ok.changes or watched.ok.rejected:
+            self._on_updates(watched.ok, self._is_recovering())
+        self.revision = watched.ok.revision
+        if watched.ok.changes and self._pause_ms:
+            gevent.sleep(self._pause_ms / 1000)
+
+    def _is_recovering(self) -> bool:
+        return self._clock.now_ms() - self._recovered_ms < RECOVERY_MS
+
+    def _note_reached(self) -> None:
+        self.reached_ms = self._clock.now_ms()
+        if self._backoff_ms:
+            self._backoff_ms = 0.0
+            self._recovered_ms = self.reached_ms
+            self._on_store(self.name, None)
+
+    def _back_off(self, failure: Failure) -> None:
+        self._on_store(self.name, failure)
+        self._backoff_ms = min(BACKOFF_MAX_MS, max(BACKOFF_FIRST_MS, self._backoff_ms * 2))
+        gevent.sleep(self._backoff_ms * (0.5 + self._rng.random()) / 1000)
--- /dev/null
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -0,0 +1,119 @@
+"""Heartbeats between instances as datagrams.
+
+A heartbeat is worth nothing once the next one is sent, so it needs no connection
+that could go silent or queue.
+"""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+
+from persimmonspur.core.fleet.members import HEARTBEAT_MS, Member, Membership
+from persimmonspur.entry.sockets import READ, split_address
+
+MAX_DATAGRAM_BYTES = 1_400
+
+
+class Heartbeat(msgspec.Struct, array_like=True):
+    """What an instance tells the others.
+
+    :param configuration: version of its route table; 0 if it has none.
+    :param endpoints: store revision of its endpoint list.
+    """
+
+    name: str
+    incarnation: int
+    failure_domain: str
+    region: str
+    caller_address: str
+    peer_address: str
+    ready: bool
+    configuration: int
+    endpoints: int
+
+
+class Heartbeats:
+    """Sends and receives heartbeats."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        describe: Callable[[], tuple[bool, int, int]],
+        on_heartbeat: Callable[[Member, Heartbeat], None],
+    ) -> None:
+        """Bind the peer address.
+
+        :param describe: returns ``ready``, ``configuration`` and ``endpoints``.
+        :raises OSError: if the address cannot be bound.
+        """
+        self._membership = membership
+        self._describe = describe
+        self._on_heartbeat = on_heartbeat
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind(split_address(membership.own.peer_address))
+        loop = gevent.get_hub().loop
+        self._reader: Any = loop.io(self._sock.fileno(), READ)
+        self._reader.start(self._receive)
+        self._ticker: Any = loop.timer(HEARTBEAT_MS / 1000, HEARTBEAT_MS / 1000)
+        self._ticker.start(self.send)
+        self.sent = 0
+        self.undelivered = 0
+
+    def send(self) -> None:
+        """Send a heartbeat to every other instance now."""
+        own = self._membership.own
+        ready, configuration, endpoints = self._describe()
+        data = msgspec.msgpack.encode(
+            Heartbeat(
+                own.name,
+                own.incarnation,
+                own.failure_domain,
+                own.region,
+                own.caller_address,
+                own.peer_address,
+                ready,
+                configuration,
+                endpoints,
+            )
+        )
+        for peer in self._membership.peers():
+            try:
+                self._sock.sendto(data, split_address(peer.peer_address))
+                self.sent += 1
+            except OSError:
+                # A full buffer or an unreachable network; the next heartbeat follows.
+                self.undelivered += 1
+
+    def close(self) -> None:
+        """Stop."""
+        self._ticker.stop()
+        self._ticker.close()
+        self._reader.stop()
+        self._reader.close()
+        self._sock.close()
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                # Nothing left, or an earlier datagram was refused by its receiver.
+                return
+            try:
+                heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
+            except msgspec.DecodeError:
+                self.undelivered += 1
+                continue
+            member = Member(
+                heartbeat.name,
+                heartbeat.incarnation,
+                heartbeat.failure_domain,
+                heartbeat.region,
+                heartbeat.caller_address,
+                heartbeat.peer_address,
+            )
+            self._on_heartbeat(member, heartbeat)
--- /dev/null
+++ b/src/persimmonspur/entry/instance.py
@@ -0,0 +1,384 @@
+"""One entry instance: its parts and what connects them."""
+
+import random
+from typing import Protocol
+
+import gevent
+from attrs import frozen
+from expression import Result
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.answers import AnswerFormat
+from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
+from persimmonspur.core.fleet.endpoints import Endpoint, EndpointDirectory
+from persimmonspur.core.fleet.exchange import Tier
+from persimmonspur.core.fleet.latency import RouteLatencies
+from persimmonspur.core.fleet.members import Member, Membership, choose_entry_set
+from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer
+from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
+from persimmonspur.core.fleet.selection import ReplicaSelector
+from persimmonspur.entry import events
+from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
+from persimmonspur.entry.heartbeats import Heartbeat, Heartbeats
+from persimmonspur.entry.records import EventLog
+from persimmonspur.entry.sender import EndpointCodec, EndpointSender
+from persimmonspur.entry.server import Handler, HttpServer
+from persimmonspur.entry.surfaces import ClientCodec, RequestSurface
+from persimmonspur.entry.timers import LoopTimers
+from persimmonspur.errors import Failure
+from persimmonspur.events import EventType
+
+# Instances that callers are sent to.
+ENTRY_SET_SIZE = 4
+MAINTENANCE_MS = 500.0
+# Changes of endpoints come in bursts; the rest between two watches.
+ENDPOINT_PAUSE_MS = 250.0
+# A peer that knows a newer state for this long shows that a watch here is stuck.
+STALE_MS = 1_000.0
+DEFAULT_CONNECTIONS = 64
+
+
+@frozen
+class Identity:
+    """Who this instance is and where it listens.
+
+    :param shutdown_ms: time from SIGTERM until the process is killed.
+    """
+
+    member: Member
+    ready_address: str
+    resolve_address: str
+    shutdown_ms: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_ms: float
+
+
+class Registry(Protocol):
+    """Where instances register themselves."""
+
+    def register(self, member: Member) -> Result[None, Failure]:
+        """Write this instance's registration."""
+
+    def unregister(self, name: str) -> Result[None, Failure]:
+        """Remove a registration."""
+
+
+@frozen
+class Sources:
+    """What the store holds for this instance."""
+
+    configuration: Source[RouteTable]
+    endpoints: Source[Endpoint]
+    evacuations: Source[str]
+    members: Source[Member]
+    registry: Registry
+
+
+@frozen
+class Codecs:
+    """Formats of both edges."""
+
+    client: ClientCodec
+    endpoint: EndpointCodec
+    answers: AnswerFormat
+
+
+class EntryInstance:
+    """The parts of one process."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        sources: Sources,
+        codecs: Codecs,
+        clock: Clock,
+        timers: LoopTimers,
+        log: EventLog,
+    ) -> None:
+        """Build the parts; nothing runs yet."""
+        self.identity = identity
+        self.clock = clock
+        self.log = log
+        self.timers = timers
+        self._sources = sources
+        rng = random.Random(identity.member.name + str(identity.member.incarnation))
+        self.routes = RouteTableHolder()
+        self.endpoints = EndpointDirectory()
+        self.membership = Membership(identity.member)
+        self.selector = ReplicaSelector(identity.member.failure_domain, rng)
+        self.latencies = RouteLatencies()
+        self.budget = RetryBudget(
+            identity.retry_ratio, identity.retry_slack, identity.retry_window_ms
+        )
+        self.cold = ColdStartLimit(identity.member.name)
+        self.sender = EndpointSender(codecs.endpoint, self._find_connection_limit, clock, timers)
+        self.tier = Tier(
+            clock,
+            timers,
+            self.sender,
+            self.endpoints,
+            self.selector,
+            self.latencies,
+            self.budget,
+            self.cold,
+            codecs.answers,
+            self._record_decision,
+        )
+        self.requests = RequestSurface(self.tier, self.routes, codecs.client, self._record_finished)
+        self.leaving = False
+        self._stale_since_ms: float | None = None
+        self.configuration_feed: Feed[RouteTable] = Feed(
+            "configuration",
+            sources.configuration,
+            self._take_configurations,
+            self._take_configuration_updates,
+            self._note_store,
+            clock,
+            rng,
+        )
+        self.endpoint_feed: Feed[Endpoint] = Feed(
+            "endpoints",
+            sources.endpoints,
+            self._take_endpoints,
+            self._take_endpoint_updates,
+            self._note_store,
+            clock,
+            rng,
+            ENDPOINT_PAUSE_MS,
+        )
+        self._evacuated: set[str] = set()
+        self.evacuation_feed: Feed[str] = Feed(
+            "evacuations",
+            sources.evacuations,
+            self._take_evacuations,
+            self._take_evacuation_updates,
+            self._note_store,
+            clock,
+            rng,
+        )
+        self.heartbeats: Heartbeats | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether this instance takes requests."""
+        return not self.leaving and self.routes.table is not None and self.endpoints.known_once
+
+    def start(self) -> None:
+        """Start feeds, heartbeats and maintenance.
+
+        :raises OSError: if the peer address cannot be bound.
+        """
+        self.heartbeats = Heartbeats(self.membership, self._describe, self._take_heartbeat)
+        self.configuration_feed.start()
+        self.endpoint_feed.start()
+        self.evacuation_feed.start()
+        gevent.spawn(self._register)
+        self.timers.call_later(MAINTENANCE_MS, self._maintain)
+
+    def serve(self, address: str, handler: Handler) -> HttpServer:
+        """Serve one address.
+
+        :raises OSError: if the address cannot be bound.
+        """
+        return HttpServer(address, handler, self.get_client_limits, self.clock)
+
+    def leave(self) -> None:
+        """Take no new callers: not ready, and no longer named by any instance."""
+        self.leaving = True
+        self.membership.own_ready = False
+        if self.heartbeats is not None:
+            self.heartbeats.send()
+        gevent.spawn(self._sources.registry.unregister, self.identity.member.name)
+
+    def get_client_limits(self) -> ClientLimits:
+        """Return what clients may send."""
+        table = self.routes.table
+        return table.limits if table is not None else ClientLimits()
+
+    def choose_addresses(self) -> list[str]:
+        """Return the addresses that callers use now."""
+        now_ms = self.clock.now_ms()
+        members = self.membership.ready_members(now_ms)
+        chosen = choose_entry_set(members, ENTRY_SET_SIZE)
+        if not chosen:
+            return [self.identity.member.caller_address]
+        return [member.caller_address for member in chosen]
+
+    def _find_connection_limit(self, service: str) -> int:
+        table = self.routes.table
+        limits = table.services.get(service) if table is not None else None
+        return limits.max_connections if limits is not None else DEFAULT_CONNECTIONS
+
+    def _register(self) -> None:
+        registered = self._sources.registry.register(self.identity.member)
+        delay_ms = 200.0
+        while registered.is_error() and not self.leaving:
+            self._note_store("registration", registered.error)
+            gevent.sleep(delay_ms / 1000)
+            delay_ms = min(2_000.0, delay_ms * 2)
+            registered = self._sources.registry.register(self.identity.member)
+        self._list_members()
+
+    def _list_members(self) -> None:
+        delay_ms = 200.0
+        while not self.leaving:
+            listed = self._sources.members.list()
+            if listed.is_ok():
+                now_ms = self.clock.now_ms()
+                for member in listed.ok.items.values():
+                    self.membership.register(member, now_ms)
+                if self.heartbeats is not None:
+                    self.heartbeats.send()
+                return
+            self._note_store("members", listed.error)
+            gevent.sleep(delay_ms / 1000)
+            delay_ms = min(2_000.0, delay_ms * 2)
+
+    def _describe(self) -> tuple[bool, int, int]:
+        table = self.routes.table
+        version = table.version if table is not None else 0
+        return self.ready, version, self.endpoint_feed.revision
+
+    def _take_heartbeat(self, member: Member, heartbeat: Heartbeat) -> None:
+        now_ms = self.clock.now_ms()
+        if self.membership.hear(member, heartbeat.ready, now_ms):
+            self.log.record(
+                events.MEMBER_CHANGED,
+                member=member.name,
+                incarnation=member.incarnation,
+                ready=heartbeat.ready,
+            )
+        table = self.routes.table
+        version = table.version if table is not None else 0
+        if heartbeat.configuration <= version:
+            self._stale_since_ms = None
+        elif self._stale_since_ms is None:
+            self._stale_since_ms = now_ms
+        elif now_ms - self._stale_since_ms > STALE_MS:
+            self._stale_since_ms = None
+            self.log.record(
+                events.WATCH_STUCK, version=version, newer=heartbeat.configuration, peer=member.name
+            )
+            self.configuration_feed.restart()
+
+    def _maintain(self) -> None:
+        self.timers.call_later(MAINTENANCE_MS, self._maintain)
+        now_ms = self.clock.now_ms()
+        self.membership.own_ready = self.ready
+        for identity in self.endpoints.expire(now_ms):
+            self.log.record(events.ENDPOINT_REMOVED, endpoint=identity, reason="did not come back")
+        identities = self.endpoints.identities()
+        self.selector.forget(identities)
+        self.cold.forget(identities)
+        self.sender.retain(identities)
+        ready = self.membership.ready_members(now_ms)
+        self.budget.instances = max(1, min(len(ready), 2 * ENTRY_SET_SIZE))
+        self.sender.sharing = max(1, min(len(ready), ENTRY_SET_SIZE + 1))
+        self.cold.set_members(tuple(member.name for member in ready))
+
+    def _take_configurations(self, snapshot: Snapshot[RouteTable], after_outage: bool) -> None:
+        for failure in snapshot.rejected:
+            self.log.record(events.ENTRY_REJECTED, kind="configuration", reason=failure.message)
+        for table in snapshot.items.values():
+            self._take_table(table)
+
+    def _take_configuration_updates(self, updates: Updates[RouteTable], after_outage: bool) -> None:
+        for failure in updates.rejected:
+            self.log.record(events.ENTRY_REJECTED, kind="configuration", reason=failure.message)
+        for _, table in updates.changes:
+            if table is not None:
+                self._take_table(table)
+
+    def _take_table(self, table: RouteTable) -> None:
+        if not self.routes.offer(table):
+            return
+        self.latencies.retain(frozenset(route.name for route in table.routes))
+        self.log.record(
+            events.CONFIGURATION_IN_EFFECT,
+            version=table.version,
+            routes=len(table.routes),
+            services=len(table.services),
+        )
+
+    def _take_endpoints(self, snapshot: Snapshot[Endpoint], after_outage: bool) -> None:
+        for failure in snapshot.rejected:
+            self.log.record(events.ENTRY_REJECTED, kind="endpoint", reason=failure.message)
+        self.endpoints.replace_all(snapshot.items.values(), after_outage, self.clock.now_ms())
+        self.log.record(
+            events.ENDPOINTS_LISTED,
+            endpoints=len(snapshot.items),
+            revision=snapshot.revision,
+            after_outage=after_outage,
+        )
+
+    def _take_endpoint_updates(self, updates: Updates[Endpoint], after_outage: bool) -> None:
+        for failure in updates.rejected:
+            self.log.record(events.ENTRY_REJECTED, kind="endpoint", reason=failure.message)
+        now_ms = self.clock.now_ms()
+        for identity, endpoint in updates.changes:
+            if endpoint is None:
+                self.endpoints.remove(identity, after_outage, now_ms)
+                self.log.record(events.ENDPOINT_REMOVED, endpoint=identity, reason="entry removed")
+                continue
+            known = self.endpoints.get(identity)
+            self.endpoints.put(endpoint)
+            if known is None or known.draining != endpoint.draining:
+                self.log.record(
+                    events.ENDPOINT_CHANGED,
+                    endpoint=identity,
+                    service=endpoint.service,
+                    address=endpoint.address,
+                    draining=endpoint.draining,
+                    revision=updates.revision,
+                )
+
+    def _take_evacuations(self, snapshot: Snapshot[str], after_outage: bool) -> None:
+        self._evacuated = set(snapshot.items)
+        self._apply_evacuations()
+
+    def _take_evacuation_updates(self, updates: Updates[str], after_outage: bool) -> None:
+        for name, present in updates.changes:
+            if present is None:
+                self._evacuated.discard(name)
+            else:
+                self._evacuated.add(name)
+        self._apply_evacuations()
+
+    def _apply_evacuations(self) -> None:
+        self.endpoints.evacuate(frozenset(self._evacuated))
+        if self._evacuated:
+            self.log.record(events.EVACUATED, failure_domains=sorted(self._evacuated))
+
+    def _note_store(self, feed: str, failure: Failure | None) -> None:
+        if failure is None:
+            self.log.record(events.STORE_REGAINED, feed=feed)
+        else:
+            self.log.record(events.STORE_CALL_FAILED, feed=feed, reason=failure.message)
+
+    def _record_decision(self, name: str, **fields: object) -> None:
+        event: EventType = events.DECISIONS[name]
+        self.log.record_request(event, failed=True, **fields)
+
+    def _record_finished(
+        self,
+        request: ClientRequest,
+        route: str,
+        version: int,
+        answer: FinalAnswer,
+        duration_ms: float,
+    ) -> None:
+        self.log.record_request(
+            events.REQUEST_ANSWERED,
+            failed=answer.status != 200 or answer.covered < answer.total,
+            request_id=request.request_id,
+            route=route,
+            version=version,
+            status=answer.status,
+            outcome=answer.outcome,
+            covered=answer.covered,
+            total=answer.total,
+            attempts=answer.attempts,
+            duration_ms=round(duration_ms, 1),
+            reason=answer.reason,
+        )
--- /dev/null
+++ b/src/persimmonspur/entry/records.py
@@ -0,0 +1,150 @@
+"""Structured log lines on standard output that never block the process."""
+
+import os
+import sys
+from collections import deque
+from typing import Any
+
+import gevent
+import msgspec
+from loguru import logger
+
+from persimmonspur.clock import Clock
+from persimmonspur.events import EventType
+
+# Lines that wait while the reader of standard output is slow.
+QUEUE_LINES = 2_000
+# Lines per second for events of single requests; failures have a budget of their own.
+ROUTINE_LINES_PER_S = 20.0
+FAILURE_LINES_PER_S = 100.0
+FLUSH_MS = 50.0
+WRITE_BYTES = 16_384
+
+
+class LineBudget:
+    """Bounds lines per second and counts those left out."""
+
+    def __init__(self, per_s: float, clock: Clock) -> None:
+        self._per_s = per_s
+        self._clock = clock
+        self._tokens = per_s
+        self._filled_ms = clock.now_ms()
+        self.left_out = 0
+
+    def take(self) -> bool:
+        """Return whether a line may be written."""
+        now_ms = self._clock.now_ms()
+        gained = (now_ms - self._filled_ms) * self._per_s / 1000
+        self._tokens = min(self._per_s, self._tokens + gained)
+        self._filled_ms = now_ms
+        if self._tokens < 1:
+            self.left_out += 1
+            return False
+        self._tokens -= 1
+        return True
+
+
+class LineWriter:
+    """Writes lines to a descriptor without blocking; drops lines when its queue is full."""
+
+    def __init__(self, descriptor: int) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._partial = b""
+        self._timer: Any = gevent.get_hub().loop.timer(FLUSH_MS / 1000)
+        self._armed = False
+        self.dropped = 0
+
+    def write(self, line: str) -> None:
+        """Queue one line."""
+        if len(self._lines) >= QUEUE_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(line.encode())
+        if not self._armed:
+            self._armed = True
+            self._timer.start(self.flush)
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        self._armed = False
+        while self._partial or self._lines:
+            if not self._partial:
+                self._partial = self._gather_lines()
+            try:
+                written = os.write(self._descriptor, self._partial)
+            except BlockingIOError:
+                break
+            except OSError:
+                # Nobody reads the log any more.
+                self.dropped += len(self._lines)
+                self._lines.clear()
+                self._partial = b""
+                return
+            self._partial = self._partial[written:]
+        if self._partial or self._lines:
+            self._armed = True
+            self._timer.start(self.flush)
+
+    def _gather_lines(self) -> bytes:
+        chunk = bytearray()
+        while self._lines and len(chunk) < WRITE_BYTES:
+            chunk += self._lines.popleft()
+        return bytes(chunk)
+
+
+class EventLog:
+    """Writes catalogued events as JSON lines."""
+
+    def __init__(self, instance: str, clock: Clock, writer: LineWriter) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._writer = writer
+        self._routine = LineBudget(ROUTINE_LINES_PER_S, clock)
+        self._failures = LineBudget(FAILURE_LINES_PER_S, clock)
+        logger.remove()
+        logger.add(writer.write, level="INFO", format="{message}")
+
+    def record(self, event: EventType, **fields: Any) -> None:
+        """Write one event of the process; always written."""
+        self._write(event, fields)
+
+    def record_request(self, event: EventType, failed: bool, **fields: Any) -> None:
+        """Write one event of a request if the budget of lines allows.
+
+        :param failed: whether the request, or a step of it, failed.
+        """
+        budget = self._failures if failed else self._routine
+        if not budget.take():
+            return
+        if budget.left_out:
+            fields["left_out_before"] = budget.left_out
+            budget.left_out = 0
+        self._write(event, fields)
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were lost because the reader was too slow."""
+        return self._writer.dropped
+
+    def flush(self) -> None:
+        """Write what waits."""
+        self._writer.flush()
+
+    def _write(self, event: EventType, fields: dict[str, Any]) -> None:
+        line = {
+            "wall_ms": round(self._clock.wall_ms()),
+            "monotonic_ms": round(self._clock.now_ms(), 1),
+            "level": event.level,
+            "code": event.code,
+            "name": event.name,
+            "instance": self._instance,
+            **fields,
+        }
+        logger.log(event.level, "{}", msgspec.json.encode(line).decode())
+
+
+def open_log(instance: str, clock: Clock) -> EventLog:
+    """Open the log on standard output."""
+    return EventLog(instance, clock, LineWriter(sys.stdout.fileno()))
--- /dev/null
+++ b/src/persimmonspur/entry/responses.py
@@ -0,0 +1,126 @@
+"""Reads HTTP responses from a kept connection and tells clean ones from others."""
+
+from collections.abc import Callable
+
+import httptools
+from attrs import frozen
+
+from persimmonspur.core.fleet.messages import Headers
+
+MAX_RESPONSE_BYTES = 16_000_000
+
+
+@frozen
+class HttpResponse:
+    """One complete response.
+
+    :param keep_alive: whether the peer keeps the connection.
+    :param framed: whether its end was marked; without that the end of the connection ends it.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    framed: bool = True
+
+
+class ResponseReader:
+    """Parses the bytes of one connection.
+
+    :ivar broken: reason why no further byte of the connection can be trusted.
+    """
+
+    def __init__(self, on_response: Callable[[HttpResponse], None]) -> None:
+        self._on_response = on_response
+        self._parser = httptools.HttpResponseParser(self)
+        self._ready: list[HttpResponse] = []
+        self.broken = ""
+        self._in_message = False
+        self._head_complete = False
+        self._framed = False
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    @property
+    def in_message(self) -> bool:
+        """Whether a response has begun and is not complete."""
+        return self._in_message
+
+    def feed(self, data: bytes) -> None:
+        """Take received bytes; complete responses are delivered at the end."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.broken = "the response switches protocols"
+        except httptools.HttpParserError as error:
+            self.broken = f"not a response: {error}"
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            self.broken = f"a response exceeds {MAX_RESPONSE_BYTES} bytes"
+        ready = self._ready
+        self._ready = []
+        for response in ready:
+            self._on_response(response)
+
+    def finish(self) -> bool:
+        """Take the orderly end of the connection.
+
+        :returns: whether it completed a response.
+        """
+        if self.broken or not self._head_complete or self._framed:
+            return False
+        response = HttpResponse(
+            self._parser.get_status_code(),
+            self._headers,
+            b"".join(self._body),
+            keep_alive=False,
+            framed=False,
+        )
+        self._in_message = False
+        self._on_response(response)
+        return True
+
+    def on_message_begin(self) -> None:
+        """Start a response (called by the parser)."""
+        self._in_message = True
+        self._head_complete = False
+        self._framed = False
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field (called by the parser)."""
+        lowered = name.lower()
+        if lowered in (b"content-length", b"transfer-encoding"):
+            self._framed = True
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """End the head (called by the parser)."""
+        status = self._parser.get_status_code()
+        self._head_complete = True
+        if status in (204, 304):
+            self._framed = True
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body (called by the parser)."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """End a response (called by the parser)."""
+        self._in_message = False
+        self._head_complete = False
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self._ready.append(
+            HttpResponse(
+                status,
+                self._headers,
+                b"".join(self._body),
+                keep_alive=self._parser.should_keep_alive(),
+            )
+        )
--- /dev/null
+++ b/src/persimmonspur/entry/run.py
@@ -0,0 +1,81 @@
+"""Runs one entry instance until SIGTERM."""
+
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from attrs import frozen
+from gevent.event import Event
+
+from persimmonspur.entry import events
+from persimmonspur.entry.instance import EntryInstance
+from persimmonspur.entry.server import Handler, HttpServer
+
+# Clients keep an answer about addresses for a while after the instance stops being named.
+UNNAMED_MS = 2_500.0
+# The process exits this long before it would be killed.
+EXIT_MARGIN_MS = 500.0
+POLL_MS = 50.0
+
+
+@frozen
+class Surfaces:
+    """What is served besides requests."""
+
+    ready: Handler
+    resolve: Handler
+
+
+def run_entry(instance: EntryInstance, surfaces: Surfaces, on_reload: Callable[[], None]) -> int:
+    """Serve until SIGTERM, then finish what runs.
+
+    :param on_reload: called after SIGHUP.
+    :returns: the exit code.
+    """
+    stopping = Event()
+    loop = gevent.get_hub().loop
+    watchers = [
+        _watch_signal(loop, signal.SIGTERM, stopping.set),
+        _watch_signal(loop, signal.SIGINT, stopping.set),
+        _watch_signal(loop, signal.SIGHUP, on_reload),
+    ]
+    identity = instance.identity
+    clients = instance.serve(identity.member.caller_address, instance.requests)
+    others = [
+        instance.serve(identity.ready_address, surfaces.ready),
+        instance.serve(identity.resolve_address, surfaces.resolve),
+    ]
+    instance.start()
+    instance.log.record(
+        events.ENTRY_STARTED,
+        caller_address=identity.member.caller_address,
+        incarnation=identity.member.incarnation,
+    )
+    stopping.wait()
+    _shut_down(instance, clients, others)
+    for watcher in watchers:
+        watcher.stop()
+    return 0
+
+
+def _watch_signal(loop: Any, number: int, function: Callable[[], None]) -> Any:
+    watcher = loop.signal(number)
+    watcher.start(function)
+    return watcher
+
+
+def _shut_down(instance: EntryInstance, clients: HttpServer, others: list[HttpServer]) -> None:
+    started_ms = instance.clock.now_ms()
+    deadline_ms = started_ms + instance.identity.shutdown_ms - EXIT_MARGIN_MS
+    instance.log.record(events.ENTRY_STOPPING, running=instance.requests.running)
+    instance.leave()
+    clients.closing = True
+    gevent.sleep(min(UNNAMED_MS, instance.identity.shutdown_ms / 2) / 1000)
+    clients.stop_accepting()
+    while clients.close_idle() and instance.clock.now_ms() < deadline_ms:
+        gevent.sleep(POLL_MS / 1000)
+    for server in others:
+        server.stop_accepting()
+    instance.log.record(events.ENTRY_STOPPED, running=instance.requests.running)
+    instance.log.flush()
--- /dev/null
+++ b/src/persimmonspur/entry/sender.py
@@ -0,0 +1,110 @@
+"""Sends requests to endpoints over kept connections."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.messages import (
+    ClientRequest,
+    EndpointReply,
+    SendFailure,
+    SendResult,
+    Timers,
+)
+from persimmonspur.entry.connections import Call, ConnectionPool
+from persimmonspur.entry.responses import HttpResponse
+from persimmonspur.errors import Ran
+
+# The endpoint stops at its time limit; its answer may take this much longer.
+ANSWER_GRACE_MS = 60.0
+# Part of an endpoint's connections that all instances together use.
+USED_CONNECTIONS = 0.7
+LEAST_CONNECTIONS = 2
+
+
+class EndpointCodec(Protocol):
+    """Format of requests to endpoints and of their responses."""
+
+    def format_request(
+        self, request: ClientRequest, endpoint: Endpoint, timeout_ms: float
+    ) -> bytes:
+        """Return the bytes of a request."""
+
+    def belongs_to(self, response: HttpResponse, request: ClientRequest) -> bool:
+        """Return whether a response answers a request."""
+
+    def read_reply(self, response: HttpResponse) -> EndpointReply:
+        """Read a response."""
+
+
+class EndpointSender:
+    """Implements :class:`persimmonspur.core.fleet.messages.Sender`.
+
+    :ivar sharing: number of instances that share the connections of each endpoint.
+    """
+
+    def __init__(
+        self,
+        codec: EndpointCodec,
+        max_connections: Callable[[str], int],
+        clock: Clock,
+        timers: Timers,
+    ) -> None:
+        """Start without connections.
+
+        :param max_connections: connections that an endpoint of a service accepts.
+        """
+        self._codec = codec
+        self._max_connections = max_connections
+        self._clock = clock
+        self._timers = timers
+        self._pools: dict[str, ConnectionPool] = {}
+        self.sharing = 1
+
+    def send(
+        self,
+        endpoint: Endpoint,
+        request: ClientRequest,
+        timeout_ms: float,
+        on_result: Callable[[SendResult], None],
+    ) -> Call | None:
+        """Send a request to an endpoint."""
+        pool = self._pools.get(endpoint.identity)
+        if pool is None:
+            pool = ConnectionPool(endpoint.address, 0, self._clock, self._timers)
+            self._pools[endpoint.identity] = pool
+        limit = self._max_connections(endpoint.service) * USED_CONNECTIONS / self.sharing
+        pool.limit = max(LEAST_CONNECTIONS, int(limit))
+
+        def take_response(response: HttpResponse) -> None:
+            on_result(self._codec.read_reply(response))
+
+        def take_failure(ran: Ran, reason: str) -> None:
+            on_result(SendFailure(ran, reason))
+
+        call = Call(
+            self._codec.format_request(request, endpoint, timeout_ms),
+            lambda response: self._codec.belongs_to(response, request),
+            take_response,
+            take_failure,
+        )
+        if not pool.start(call, timeout_ms + ANSWER_GRACE_MS):
+            return None
+        return call
+
+    def retain(self, identities: frozenset[str]) -> None:
+        """Close idle connections to endpoints that no longer exist.
+
+        :param identities: the endpoints that exist.
+        """
+        for identity, pool in list(self._pools.items()):
+            if identity in identities:
+                continue
+            pool.close_idle()
+            if not pool.in_use:
+                del self._pools[identity]
+
+    def count_opened(self) -> int:
+        """Return the number of connections opened to the present endpoints."""
+        return sum(pool.opened for pool in self._pools.values())
--- /dev/null
+++ b/src/persimmonspur/entry/sockets.py
@@ -0,0 +1,215 @@
+"""Non-blocking TCP sockets on gevent's event loop.
+
+A query waits for ten or more endpoints at once. Callbacks of the event loop need no
+greenlet and no timeout object for each of them.
+"""
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+READ = 1
+WRITE = 2
+RECEIVE_BYTES = 65_536
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Data that is not acknowledged for this long ends a connection. A partition or a
+# connection that went silent shows in no other way.
+UNACKNOWLEDGED_MS = 2_000
+LISTEN_BACKLOG = 512
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    :raises ValueError: if the port is no number.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def set_options(sock: socket.socket) -> None:
+    """Set what every connection needs: no delay, and detection of silent peers."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def listen(address: str) -> socket.socket:
+    """Open a listening socket.
+
+    :param address: ``ip:port``.
+    :raises OSError: if the address cannot be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(split_address(address))
+    sock.listen(LISTEN_BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+class Stream:
+    """One connection with buffered writes.
+
+    :ivar closed: whether the socket was closed here.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        on_data: Callable[[bytes], None],
+        on_end: Callable[[str], None],
+    ) -> None:
+        """Start to read.
+
+        :param on_data: called with received bytes.
+        :param on_end: called once when the peer ends the connection or it breaks; with
+            an empty string for an orderly end, otherwise with the error.
+        """
+        self.sock = sock
+        self.closed = False
+        self._on_data = on_data
+        self._on_end = on_end
+        self._pending = bytearray()
+        self._reader: Any = gevent.get_hub().loop.io(sock.fileno(), READ)
+        self._reader.start(self._read)
+        self._writer: Any = None
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that wait to be sent."""
+        return len(self._pending)
+
+    def write(self, data: bytes) -> None:
+        """Send now or later."""
+        if self.closed:
+            return
+        if self._pending:
+            self._pending += data
+            return
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self._end(str(error))
+            return
+        if sent < len(data):
+            self._pending += data[sent:]
+            self._writer = gevent.get_hub().loop.io(self.sock.fileno(), WRITE)
+            self._writer.start(self._flush)
+
+    def has_unread(self) -> bool:
+        """Return whether bytes, or the end of the connection, wait to be read."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self) -> None:
+        """Close the connection; idempotent."""
+        if self.closed:
+            return
+        self.closed = True
+        self._reader.stop()
+        self._reader.close()
+        self._stop_writer()
+        self.sock.close()
+
+    def _flush(self) -> None:
+        try:
+            sent = self.sock.send(self._pending)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._end(str(error))
+            return
+        del self._pending[:sent]
+        if not self._pending:
+            self._stop_writer()
+
+    def _stop_writer(self) -> None:
+        if self._writer is not None:
+            self._writer.stop()
+            self._writer.close()
+            self._writer = None
+
+    def _read(self) -> None:
+        try:
+            data = self.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._end(str(error))
+            return
+        if data:
+            self._on_data(data)
+        else:
+            self._end("")
+
+    def _end(self, reason: str) -> None:
+        if self.closed:
+            return
+        self.close()
+        self._on_end(reason)
+
+
+class Connector:
+    """Opens one connection without blocking."""
+
+    def __init__(
+        self,
+        address: str,
+        on_connected: Callable[[socket.socket], None],
+        on_failed: Callable[[str], None],
+    ) -> None:
+        """Start to connect.
+
+        :param address: ``ip:port``.
+        """
+        self._on_connected = on_connected
+        self._on_failed = on_failed
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        set_options(self._sock)
+        code = self._sock.connect_ex(split_address(address))
+        self._refusal = code if code not in (0, errno.EINPROGRESS) else 0
+        self._writer: Any = gevent.get_hub().loop.io(self._sock.fileno(), WRITE)
+        self._writer.start(self._finish)
+        if self._refusal:
+            # The callback must not run before the constructor returns.
+            gevent.get_hub().loop.run_callback(self._finish)
+
+    def cancel(self) -> None:
+        """Give up."""
+        if self._writer is None:
+            return
+        self._stop()
+        self._sock.close()
+
+    def _stop(self) -> None:
+        self._writer.stop()
+        self._writer.close()
+        self._writer = None
+
+    def _finish(self) -> None:
+        if self._writer is None:
+            return
+        self._stop()
+        code = self._refusal or self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._sock.close()
+            self._on_failed(errno.errorcode.get(code, str(code)))
+            return
+        self._on_connected(self._sock)
--- /dev/null
+++ b/src/persimmonspur/entry/surfaces.py
@@ -0,0 +1,151 @@
+"""What clients and the platform see: requests, readiness and addresses."""
+
+from collections.abc import Callable
+from typing import Protocol
+from urllib.parse import parse_qs
+
+from persimmonspur.core.fleet.exchange import Exchange, Tier
+from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer, Headers
+from persimmonspur.core.fleet.routes import RouteTableHolder, WeightedRotation
+from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
+
+RETRY_AFTER_UNREADY_MS = 500.0
+
+OnFinished = Callable[[ClientRequest, str, int, FinalAnswer, float], None]
+
+
+class ClientCodec(Protocol):
+    """Format of clients' requests and of this instance's own answers."""
+
+    def read_request(self, request: HttpRequest) -> ClientRequest:
+        """Read a request."""
+
+    def format_refusal(self, retry_after_ms: float) -> Headers:
+        """Return the headers of an answer that says the request did not run."""
+
+
+class RequestSurface:
+    """Handles clients' requests.
+
+    :ivar running: requests without an answer.
+    """
+
+    def __init__(
+        self,
+        tier: Tier,
+        routes: RouteTableHolder,
+        codec: ClientCodec,
+        on_finished: OnFinished,
+    ) -> None:
+        """Serve the routes of a holder."""
+        self._tier = tier
+        self._routes = routes
+        self._codec = codec
+        self._on_finished = on_finished
+        self._rotation = WeightedRotation()
+        self.running = 0
+
+    def handle(self, request: HttpRequest, respond: Respond) -> Callable[[], None] | None:
+        """Start one request."""
+        received = self._codec.read_request(request)
+        table = self._routes.table
+        if table is None:
+            headers = self._codec.format_refusal(RETRY_AFTER_UNREADY_MS)
+            self._refuse(received, respond, 503, headers, "no_configuration", 0)
+            return None
+        if not received.host or not received.target.startswith(b"/"):
+            self._refuse(received, respond, 400, [], "malformed", table.version)
+            return None
+        route = table.find(received.host, received.path)
+        if route is None:
+            self._refuse(received, respond, 404, [], "no_route", table.version)
+            return None
+        if route.gather is not None:
+            services = route.gather.shards
+        elif route.targets:
+            services = (self._rotation.pick(route),)
+        else:
+            headers = self._codec.format_refusal(RETRY_AFTER_UNREADY_MS)
+            self._refuse(received, respond, 503, headers, "no_target", table.version)
+            return None
+
+        def finish(answer: FinalAnswer) -> None:
+            self.running -= 1
+            now_ms = self._tier.clock.now_ms()
+            self._on_finished(
+                received, route.name, table.version, answer, now_ms - received.arrived_ms
+            )
+            respond(HttpAnswer(answer.status, answer.headers, answer.body))
+
+        exchange = Exchange(self._tier, table, route, services, received, finish)
+        self.running += 1
+
+        def leave() -> None:
+            if exchange.done:
+                return
+            self.running -= 1
+            exchange.leave()
+            answer = FinalAnswer(0, [], b"", "client_left")
+            now_ms = self._tier.clock.now_ms()
+            self._on_finished(
+                received, route.name, table.version, answer, now_ms - received.arrived_ms
+            )
+
+        exchange.start()
+        return leave
+
+    def _refuse(
+        self,
+        request: ClientRequest,
+        respond: Respond,
+        status: int,
+        headers: Headers,
+        outcome: str,
+        version: int,
+    ) -> None:
+        answer = FinalAnswer(status, headers, outcome.encode(), outcome)
+        self._on_finished(request, "", version, answer, 0.0)
+        respond(HttpAnswer(status, answer.headers, answer.body))
+
+
+class ReadySurface:
+    """Tells the platform whether this instance takes requests."""
+
+    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
+        self._path = path
+        self._is_ready = is_ready
+
+    def handle(self, request: HttpRequest, respond: Respond) -> None:
+        """Answer one request."""
+        if request.target.partition(b"?")[0].decode("latin-1") != self._path:
+            respond(HttpAnswer(404))
+            return
+        respond(HttpAnswer(200 if self._is_ready() else 503))
+
+
+class ResolveSurface:
+    """Tells clients which instances to use."""
+
+    def __init__(
+        self,
+        path: str,
+        resolve: Callable[[str, str], bytes],
+    ) -> None:
+        """Serve one path.
+
+        :param resolve: returns the answer's JSON for a client's region and failure domain.
+        """
+        self._path = path
+        self._resolve = resolve
+
+    def handle(self, request: HttpRequest, respond: Respond) -> None:
+        """Answer one request."""
+        path, _, query = request.target.decode("latin-1").partition("?")
+        if path != self._path:
+            respond(HttpAnswer(404))
+            return
+        fields = parse_qs(query)
+        region = fields.get("region", [""])[0]
+        domain = fields.get("zone", [""])[0]
+        headers = [(b"Content-Type", b"application/json")]
+        respond(HttpAnswer(200, headers, self._resolve(region, domain)))
--- /dev/null
+++ b/src/persimmonspur/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls. Nothing here decides."""
--- /dev/null
+++ b/src/persimmonspur/platform/headers.py
@@ -0,0 +1,172 @@
+"""Header fields of requests and answers on the platform."""
+
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, Headers, Part
+from persimmonspur.entry.responses import HttpResponse
+from persimmonspur.entry.server import HttpRequest
+from persimmonspur.errors import Ran
+
+REQUEST_ID = b"X-Request-Id"
+DEADLINE_MS = b"X-Deadline-Ms"
+EXPECTED_ENDPOINT = b"X-Expect-Instance"
+# The endpoint's proof that it ran the request.
+STAMP = b"X-Server-Stamp"
+NOT_RUN = b"X-Not-Executed"
+LOAD = b"X-Server-Load"
+PART_STAMPS = b"X-Part-Stamps"
+MISSING_PARTS = b"X-Missing-Parts"
+RETRY_AFTER = b"Retry-After"
+
+MISDIRECTED = 421
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+
+# Fields that concern one connection, and those that this instance sets itself.
+_CONNECTION_FIELDS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+_REPLACED_FIELDS = frozenset((DEADLINE_MS.lower(), EXPECTED_ENDPOINT.lower()))
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of a header field, without regard to case."""
+    lowered = name.lower()
+    for key, value in headers:
+        if key.lower() == lowered:
+            return value
+    return None
+
+
+def read_client_request(request: HttpRequest) -> ClientRequest:
+    """Read a client's request; fields of its connection are dropped."""
+    request_id = b""
+    host = b""
+    deadline_ms = None
+    dropped = set(_CONNECTION_FIELDS)
+    headers: Headers = []
+    for name, value in request.headers:
+        lowered = name.lower()
+        if lowered == b"connection":
+            dropped.update(item.strip().lower() for item in value.split(b","))
+        elif lowered == b"x-request-id":
+            request_id = value
+        elif lowered == b"host":
+            host = value
+        elif lowered == b"x-deadline-ms":
+            deadline_ms = _read_number(value)
+    for name, value in request.headers:
+        lowered = name.lower()
+        if lowered not in dropped and lowered not in _REPLACED_FIELDS:
+            headers.append((name, value))
+    return ClientRequest(
+        request_id.decode("latin-1"),
+        request.method,
+        host.decode("latin-1"),
+        request.target,
+        headers,
+        request.body,
+        deadline_ms,
+        request.arrived_ms,
+    )
+
+
+def format_endpoint_request(request: ClientRequest, endpoint: Endpoint, timeout_ms: float) -> bytes:
+    """Return the bytes of a request to an endpoint.
+
+    :param timeout_ms: time that the endpoint may take.
+    """
+    lines = [request.method.encode("ascii"), b" ", request.target, b" HTTP/1.1\r\n"]
+    for name, value in request.headers:
+        lines += (name, b": ", value, b"\r\n")
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines += (
+        DEADLINE_MS,
+        b": %d\r\n" % max(1, int(timeout_ms)),
+        EXPECTED_ENDPOINT,
+        b": ",
+        endpoint.identity.encode("latin-1"),
+        b"\r\n\r\n",
+        request.body,
+    )
+    return b"".join(lines)
+
+
+def belongs_to(response: HttpResponse, request: ClientRequest) -> bool:
+    """Return whether a response echoes the id of a request, or names none."""
+    echoed = find_header(response.headers, REQUEST_ID)
+    return echoed is None or echoed.decode("latin-1") == request.request_id
+
+
+def read_endpoint_reply(response: HttpResponse) -> EndpointReply:
+    """Read an endpoint's response."""
+    stamp = find_header(response.headers, STAMP)
+    not_run = find_header(response.headers, NOT_RUN) is not None
+    misdirected = response.status == MISDIRECTED
+    headers: Headers = []
+    for name, value in response.headers:
+        if name.lower() not in _CONNECTION_FIELDS:
+            headers.append((name, value))
+    return EndpointReply(
+        response.status,
+        headers,
+        response.body,
+        stamp.decode("latin-1") if stamp is not None else "",
+        Ran.NO if not_run or misdirected else Ran.YES,
+        wrong_instance=misdirected,
+        load=_read_load(find_header(response.headers, LOAD)),
+    )
+
+
+class PlatformAnswers:
+    """Implements :class:`persimmonspur.core.fleet.answers.AnswerFormat`."""
+
+    def format_reply(self, reply: EndpointReply) -> Headers:
+        """Return the endpoint's own headers."""
+        return reply.headers
+
+    def format_parts(self, parts: list[Part], missing: int) -> Headers:
+        """Return the stamps of the shards in an answer and the number of the others."""
+        stamps = ", ".join(part.stamp for part in parts)
+        headers = [
+            (PART_STAMPS, stamps.encode("latin-1")),
+            (b"Content-Type", b"application/octet-stream"),
+        ]
+        if missing:
+            headers.append((MISSING_PARTS, b"%d" % missing))
+        return headers
+
+    def format_refusal(self, retry_after_ms: float) -> Headers:
+        """Return when to come back, in seconds."""
+        return [(RETRY_AFTER, b"%.3f" % (retry_after_ms / 1000))]
+
+    def format_failure(self) -> Headers:
+        """Return no advice; the request may have run."""
+        return []
+
+
+def _read_number(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if number >= 0 else None
+
+
+def _read_load(value: bytes | None) -> tuple[int, int] | None:
+    if value is None:
+        return None
+    items = value.split(b",")
+    if len(items) < 2 or not (items[0].strip().isdigit() and items[1].strip().isdigit()):
+        return None
+    return int(items[0]), int(items[1])
--- /dev/null
+++ b/src/persimmonspur/platform/run.py
@@ -0,0 +1,148 @@
+"""Entry point on the platform: settings file, adapter, instance."""
+
+import os
+import sys
+from typing import Any
+
+import msgspec
+from expression import Result
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.members import Member
+from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, Headers
+from persimmonspur.entry.calls import HttpCaller
+from persimmonspur.entry.instance import Codecs, EntryInstance, Identity, Sources
+from persimmonspur.entry.records import open_log
+from persimmonspur.entry.responses import HttpResponse
+from persimmonspur.entry.run import Surfaces, run_entry
+from persimmonspur.entry.server import HttpRequest
+from persimmonspur.entry.surfaces import ReadySurface, ResolveSurface
+from persimmonspur.entry.timers import LoopTimers
+from persimmonspur.errors import ANSWERS, ErrorKind, Failure
+from persimmonspur.platform import headers
+from persimmonspur.platform.documents import format_member
+from persimmonspur.platform.settings import (
+    SETTINGS_VARIABLE,
+    EntrySettings,
+    load_entry_settings,
+)
+from persimmonspur.platform.sources import (
+    open_configuration_source,
+    open_endpoint_source,
+    open_evacuation_source,
+    open_member_source,
+)
+from persimmonspur.platform.store import INSTANCE_KIND, PlatformStore
+
+READY_PATH = "/-/ready"
+RESOLVE_PATH = "/-/resolve"
+# How long clients keep an answer about addresses.
+KEEP_MS = 2_000.0
+
+
+class PlatformEdge:
+    """Formats of both edges on the platform."""
+
+    def read_request(self, request: HttpRequest) -> ClientRequest:
+        """Read a client's request."""
+        return headers.read_client_request(request)
+
+    def format_refusal(self, retry_after_ms: float) -> Headers:
+        """Return the headers of an answer that says the request did not run."""
+        return headers.PlatformAnswers().format_refusal(retry_after_ms)
+
+    def format_request(
+        self, request: ClientRequest, endpoint: Endpoint, timeout_ms: float
+    ) -> bytes:
+        """Return the bytes of a request to an endpoint."""
+        return headers.format_endpoint_request(request, endpoint, timeout_ms)
+
+    def belongs_to(self, response: HttpResponse, request: ClientRequest) -> bool:
+        """Return whether a response answers a request."""
+        return headers.belongs_to(response, request)
+
+    def read_reply(self, response: HttpResponse) -> EndpointReply:
+        """Read an endpoint's response."""
+        return headers.read_endpoint_reply(response)
+
+
+class StoreRegistry:
+    """Registrations of instances in the store."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    def register(self, member: Member) -> Result[None, Failure]:
+        """Write a registration."""
+        return self._store.put(INSTANCE_KIND, member.name, format_member(member))
+
+    def unregister(self, name: str) -> Result[None, Failure]:
+        """Remove a registration."""
+        return self._store.remove(INSTANCE_KIND, name)
+
+
+def main() -> int:
+    """Run one instance.
+
+    :returns: the exit code.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    loaded = load_entry_settings(path)
+    if loaded.is_error():
+        sys.stderr.write(loaded.error.message + "\n")
+        return ANSWERS[ErrorKind.INVALID_SETTINGS].exit_code
+    instance = build_instance(loaded.ok)
+    surfaces = Surfaces(
+        ReadySurface(READY_PATH, lambda: instance.ready),
+        ResolveSurface(RESOLVE_PATH, lambda region, domain: format_addresses(instance, loaded.ok)),
+    )
+    return run_entry(instance, surfaces, lambda: None)
+
+
+def build_instance(settings: EntrySettings) -> EntryInstance:
+    """Build the instance that the settings describe."""
+    clock = Clock()
+    timers = LoopTimers(clock)
+    store = PlatformStore(HttpCaller(settings.store_address, clock, timers))
+    member = Member(
+        settings.instance,
+        int(clock.wall_ms()),
+        settings.failure_domain,
+        settings.region,
+        settings.caller_address,
+        settings.peer_address,
+    )
+    identity = Identity(
+        member,
+        settings.ready_address,
+        settings.resolve_address,
+        settings.shutdown_ms,
+        settings.retry_ratio,
+        settings.retry_slack,
+        settings.retry_window_ms,
+    )
+    sources = Sources(
+        open_configuration_source(store),
+        open_endpoint_source(store, clock),
+        open_evacuation_source(store),
+        open_member_source(store),
+        StoreRegistry(store),
+    )
+    edge = PlatformEdge()
+    codecs = Codecs(edge, edge, headers.PlatformAnswers())
+    return EntryInstance(identity, sources, codecs, clock, timers, open_log(member.name, clock))
+
+
+def format_addresses(instance: EntryInstance, settings: EntrySettings) -> bytes:
+    """Return the answer to a client that asks which addresses to use."""
+    keep_ms = min(KEEP_MS, settings.keep_max_ms)
+    document: dict[str, Any] = {
+        "addrs": instance.choose_addresses(),
+        "ttl_s": keep_ms / 1000,
+    }
+    return msgspec.json.encode(document)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/persimmonspur/platform/settings.py
@@ -0,0 +1,118 @@
+"""The settings file that the platform writes for each process."""
+
+from pathlib import Path
+
+import msgspec
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from persimmonspur.errors import ErrorKind, Failure
+
+SETTINGS_VARIABLE = "PERSIMMONSPUR_BOOT"
+
+
+class _Listen(msgspec.Struct):
+    front: str | None = None
+    ready: str | None = None
+    directory: str | None = None
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: float = 3_000
+    grace_s: float = 6
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 10
+    ttl_max_s: float = 5
+
+
+class _Store(msgspec.Struct):
+    addr: str
+
+
+class _Limits(msgspec.Struct):
+    max_fds: int = 1_024
+    memory_mb: int = 222
+
+
+class _Document(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    region: str
+    listen: _Listen
+    port_range: tuple[int, int]
+    platform: _Store
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+@frozen
+class EntrySettings:
+    """What an entry instance knows at its start.
+
+    :param caller_address: where clients send requests.
+    :param ready_address: where the platform asks whether this instance is ready.
+    :param resolve_address: where clients ask which instances to use.
+    :param peer_address: where other instances send heartbeats (UDP).
+    :param shutdown_ms: time from SIGTERM until the process is killed.
+    :param retry_ratio: repeated sends per request over all instances.
+    :param retry_slack: repeated sends per window that need no requests.
+    :param keep_max_ms: longest time that clients keep an answer about addresses.
+    """
+
+    instance: str
+    failure_domain: str
+    region: str
+    caller_address: str
+    ready_address: str
+    resolve_address: str
+    peer_address: str
+    store_address: str
+    drain_ms: float
+    shutdown_ms: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_ms: float
+    keep_max_ms: float
+    max_descriptors: int
+
+
+def load_entry_settings(path: str) -> Result[EntrySettings, Failure]:
+    """Read the settings file; unknown fields are ignored.
+
+    :param path: of the file.
+    """
+    try:
+        document = msgspec.json.decode(Path(path).read_bytes(), type=_Document)
+    except OSError as error:
+        return Error(_describe(path, f"cannot be read: {error}"))
+    except msgspec.DecodeError as error:
+        return Error(_describe(path, str(error)))
+    listen = document.listen
+    if listen.front is None or listen.ready is None or listen.directory is None:
+        return Error(_describe(path, "listen lacks front, ready or directory"))
+    bounds = document.bounds
+    return Ok(
+        EntrySettings(
+            document.node,
+            document.zone,
+            document.region,
+            listen.front,
+            listen.ready,
+            listen.directory,
+            f"{document.ip}:{document.port_range[0]}",
+            document.platform.addr,
+            bounds.drain_ms,
+            bounds.grace_s * 1000,
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s * 1000,
+            bounds.ttl_max_s * 1000,
+            document.limits.max_fds,
+        )
+    )
+
+
+def _describe(path: str, reason: str) -> Failure:
+    return Failure.of(ErrorKind.INVALID_SETTINGS, f"settings file {path}: {reason}")
--- a/src/persimmonspur/reference/events.py
+++ b/src/persimmonspur/reference/events.py
@@ -2,7 +2,12 @@
 
 import sys
 
-from persimmonspur.daemon.events import CATALOGUE, EventType
+from persimmonspur.daemon import events as daemon_events
+from persimmonspur.entry import events as entry_events
+from persimmonspur.events import CATALOGUE, EventType
+
+# Imported so that their events are in the catalogue.
+_DEFINED_IN = (daemon_events, entry_events)
 
 INTRODUCTION = """# Log events
 
