--- a/src/persimmonspur/entry/records.py
+++ b/src/persimmonspur/entry/records.py
@@ -54,11 +54,12 @@
         self._partial = b""
         self._timer: Any = gevent.get_hub().loop.timer(FLUSH_MS / 1000)
         self._armed = False
+        self._closed = False
         self.dropped = 0
 
     def write(self, line: str) -> None:
         """Queue one line."""
-        if len(self._lines) >= QUEUE_LINES:
+        if self._closed or len(self._lines) >= QUEUE_LINES:
             self.dropped += 1
             return
         self._lines.append(line.encode())
@@ -87,6 +88,17 @@
             self._armed = True
             self._timer.start(self.flush)
 
+    def close(self) -> None:
+        """Write what the descriptor takes now and drop all later lines.
+
+        The descriptor's number may belong to another file afterwards.
+        """
+        self.flush()
+        self._closed = True
+        self._lines.clear()
+        self._partial = b""
+        self._timer.stop()
+
     def _gather_lines(self) -> bytes:
         chunk = bytearray()
         while self._lines and len(chunk) < WRITE_BYTES:
@@ -132,6 +144,10 @@
         """Write what waits."""
         self._writer.flush()
 
+    def close(self) -> None:
+        """Write what waits and drop all later lines."""
+        self._writer.close()
+
     def _write(self, event: EventType, fields: dict[str, Any]) -> None:
         line = {
             "wall_ms": round(self._clock.wall_ms()),
--- a/src/persimmonspur/entry/server.py
+++ b/src/persimmonspur/entry/server.py
@@ -81,6 +81,7 @@
     target: bytes = b""
     headers: Headers = field(factory=list)
     body: list[bytes] = field(factory=list)
+    head_bytes: int = 0
     body_bytes: int = 0
     head_complete: bool = False
 
@@ -201,13 +202,15 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header field (called by the parser)."""
         self._parsing.headers.append((name, value))
+        # Two bytes each for the separator and the line end.
+        self._parsing.head_bytes += len(name) + len(value) + 4
 
     def on_headers_complete(self) -> None:
         """End the head (called by the parser)."""
         parsing = self._parsing
         parsing.head_complete = True
         limits = self._server.limits()
-        if self._head_bytes > limits.max_header_bytes + limits.max_body_bytes:
+        if len(parsing.target) + parsing.head_bytes > limits.max_header_bytes:
             self._refusal = 431
         for name, value in parsing.headers:
             lowered = name.lower()
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -13,7 +13,7 @@
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, Headers
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.instance import Codecs, EntryInstance, Identity, Sources
-from persimmonspur.entry.records import open_log
+from persimmonspur.entry.records import EventLog, open_log
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.entry.run import Surfaces, run_entry
 from persimmonspur.entry.server import HttpRequest
@@ -92,17 +92,18 @@
     if loaded.is_error():
         sys.stderr.write(loaded.error.message + "\n")
         return ANSWERS[ErrorKind.INVALID_SETTINGS].exit_code
-    instance = build_instance(loaded.ok)
+    settings = loaded.ok
+    clock = Clock()
+    instance = build_instance(settings, clock, open_log(settings.instance, clock))
     surfaces = Surfaces(
         ReadySurface(READY_PATH, lambda: instance.ready),
-        ResolveSurface(RESOLVE_PATH, lambda region, domain: format_addresses(instance, loaded.ok)),
+        ResolveSurface(RESOLVE_PATH, lambda region, domain: format_addresses(instance, settings)),
     )
     return run_entry(instance, surfaces, lambda: None)
 
 
-def build_instance(settings: EntrySettings) -> EntryInstance:
+def build_instance(settings: EntrySettings, clock: Clock, log: EventLog) -> EntryInstance:
     """Build the instance that the settings describe."""
-    clock = Clock()
     timers = LoopTimers(clock)
     store = PlatformStore(HttpCaller(settings.store_address, clock, timers))
     member = Member(
@@ -131,7 +132,7 @@
     )
     edge = PlatformEdge()
     codecs = Codecs(edge, edge, headers.PlatformAnswers())
-    return EntryInstance(identity, sources, codecs, clock, timers, open_log(member.name, clock))
+    return EntryInstance(identity, sources, codecs, clock, timers, log)
 
 
 def format_addresses(instance: EntryInstance, settings: EntrySettings) -> bytes:
--- /dev/null
+++ b/tests/core/fleet/test_endpoints.py
@@ -0,0 +1,62 @@
+from attrs import evolve
+
+from persimmonspur.core.fleet.endpoints import RETURN_MS, Endpoint, EndpointDirectory
+
+
+def make_endpoint(identity="e1", service="s", domain="d1", **fields):
+    return Endpoint(identity, service, "10.0.0.1:80", domain, 4, **fields)
+
+
+def test_draining_endpoint_gets_no_requests():
+    # Guards against requests to an endpoint after its announcement.
+    directory = EndpointDirectory()
+    directory.put(make_endpoint())
+    directory.put(make_endpoint(draining=True))
+    assert directory.usable("s") == ()
+    assert directory.get("e1").draining
+
+
+def test_evacuated_domain_gets_no_requests_until_it_is_back():
+    directory = EndpointDirectory()
+    directory.put(make_endpoint("e1", domain="d1"))
+    directory.put(make_endpoint("e2", domain="d2"))
+    directory.evacuate(frozenset(["d1"]))
+    assert [endpoint.identity for endpoint in directory.usable("s")] == ["e2"]
+    directory.evacuate(frozenset())
+    assert len(directory.usable("s")) == 2
+
+
+def test_entry_that_lapsed_in_an_outage_stays_until_it_could_be_back():
+    # Guards against dropping all endpoints at the moment a store outage ends.
+    directory = EndpointDirectory()
+    directory.replace_all([make_endpoint()], after_outage=False, now_ms=0.0)
+    directory.replace_all([], after_outage=True, now_ms=1_000.0)
+    assert len(directory.usable("s")) == 1
+    assert directory.expire(1_000.0 + RETURN_MS - 1) == []
+    assert directory.expire(1_000.0 + RETURN_MS) == ["e1"]
+    assert directory.usable("s") == ()
+
+
+def test_entry_that_comes_back_stays():
+    directory = EndpointDirectory()
+    directory.put(make_endpoint())
+    directory.remove("e1", after_outage=True, now_ms=0.0)
+    directory.put(make_endpoint())
+    assert directory.expire(60_000.0) == []
+    assert len(directory.usable("s")) == 1
+
+
+def test_entry_removed_without_an_outage_is_gone_at_once():
+    # Guards against requests to endpoints that never announce their shutdown.
+    directory = EndpointDirectory()
+    directory.put(make_endpoint())
+    directory.remove("e1", after_outage=False, now_ms=0.0)
+    assert directory.usable("s") == ()
+
+
+def test_identity_that_moves_to_another_service_leaves_the_first():
+    directory = EndpointDirectory()
+    directory.put(make_endpoint())
+    directory.put(evolve(make_endpoint(), service="t"))
+    assert directory.usable("s") == ()
+    assert len(directory.usable("t")) == 1
--- /dev/null
+++ b/tests/core/fleet/test_members.py
@@ -0,0 +1,65 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonspur.core.fleet.members import SUSPECT_MS, Member, Membership, choose_entry_set
+
+
+def make_member(index, incarnation=1, domains=3):
+    return Member(
+        f"i{index}",
+        incarnation,
+        f"d{index % domains}",
+        "r",
+        f"10.0.0.{index}:80",
+        f"10.0.0.{index}:81",
+    )
+
+
+def test_silent_instance_is_not_named():
+    # Guards against directory answers that name a killed instance.
+    membership = Membership(make_member(0))
+    membership.own_ready = True
+    membership.hear(make_member(1), ready=True, now_ms=0.0)
+    assert len(membership.ready_members(SUSPECT_MS)) == 2
+    assert membership.ready_members(SUSPECT_MS + 1) == [make_member(0)]
+
+
+def test_registered_instance_is_named_only_after_a_heartbeat():
+    membership = Membership(make_member(0))
+    membership.register(make_member(1), 0.0)
+    assert membership.ready_members(0.0) == []
+
+
+def test_heartbeat_of_an_earlier_incarnation_is_ignored():
+    # Guards against a delayed datagram that revives a replaced process.
+    membership = Membership(make_member(0))
+    membership.hear(make_member(1, incarnation=2), ready=False, now_ms=0.0)
+    membership.hear(make_member(1, incarnation=1), ready=True, now_ms=1.0)
+    assert membership.ready_members(1.0) == []
+
+
+def test_leaving_instance_is_dropped_at_once():
+    membership = Membership(make_member(0))
+    membership.hear(make_member(1), ready=True, now_ms=0.0)
+    assert membership.hear(make_member(1), ready=False, now_ms=1.0)
+    assert membership.ready_members(1.0) == []
+
+
+@given(st.sets(st.integers(min_value=0, max_value=40)), st.integers(min_value=1, max_value=8))
+def test_entry_set_is_spread_and_as_large_as_asked(indexes, size):
+    members = [make_member(index) for index in sorted(indexes)]
+    chosen = choose_entry_set(members, size)
+    assert len(chosen) == min(size, len(members))
+    assert len({member.name for member in chosen}) == len(chosen)
+    available = {member.failure_domain for member in members}
+    assert len({member.failure_domain for member in chosen}) == min(size, len(available))
+
+
+@given(st.integers(min_value=5, max_value=30), st.integers(min_value=0, max_value=29))
+def test_entry_set_changes_by_one_when_one_instance_goes(count, gone):
+    # Guards against a set that moves all callers when one instance is lost.
+    members = [make_member(index) for index in range(count)]
+    before = {member.name for member in choose_entry_set(members, 4)}
+    rest = [member for member in members if member.name != f"i{gone}"]
+    after = {member.name for member in choose_entry_set(rest, 4)}
+    assert len(before - after) <= 1
--- /dev/null
+++ b/tests/entry/test_feeds.py
@@ -0,0 +1,94 @@
+import random
+
+import gevent
+import pytest
+from expression import Error, Ok
+
+from persimmonspur.clock import Clock
+from persimmonspur.entry import feeds
+from persimmonspur.entry.feeds import Feed, Snapshot, Updates
+from persimmonspur.errors import ErrorKind, Failure
+
+
+class Source:
+    """Plays results in order, then waits."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.calls = []
+
+    def _next(self):
+        if not self.results:
+            gevent.sleep(60)
+        return self.results.pop(0)
+
+    def list(self):
+        self.calls.append("list")
+        return self._next()
+
+    def watch(self, revision, wait_ms):
+        self.calls.append(revision)
+        return self._next()
+
+
+def fail(kind=ErrorKind.STORE_UNAVAILABLE):
+    return Error(Failure.of(kind, "failed"))
+
+
+@pytest.fixture
+def follow(monkeypatch):
+    monkeypatch.setattr(feeds, "BACKOFF_FIRST_MS", 1.0)
+    monkeypatch.setattr(feeds, "BACKOFF_MAX_MS", 2.0)
+    running = []
+
+    def start(*results):
+        source = Source(*results)
+        taken, store = [], []
+        feed = Feed(
+            "feed",
+            source,
+            lambda snapshot, outage: taken.append((snapshot, outage)),
+            lambda updates, outage: taken.append((updates, outage)),
+            lambda name, failure: store.append(failure is None),
+            Clock(),
+            random.Random(1),
+        )
+        feed.start()
+        running.append(feed)
+        gevent.sleep(0.05)
+        return source, taken, store
+
+    yield start
+    for feed in running:
+        feed.stop()
+
+
+def test_feed_continues_from_the_last_revision(follow):
+    source, taken, _ = follow(
+        Ok(Snapshot({"a": 1}, 10)), Ok(Updates((("b", 2),), 12)), Ok(Updates((), 15))
+    )
+    assert source.calls == ["list", 10, 12, 15]
+    assert len(taken) == 2
+
+
+def test_forgotten_history_lists_again(follow):
+    # Guards against changes that are missed after the store dropped its history.
+    source, taken, store = follow(
+        Ok(Snapshot({}, 10)), fail(ErrorKind.CONFLICT), Ok(Snapshot({"a": 1}, 20))
+    )
+    assert source.calls == ["list", 10, "list", 20]
+    assert store == []
+    assert taken[1] == (Snapshot({"a": 1}, 20), False)
+
+
+def test_outage_is_told_once_it_ends(follow):
+    _source, taken, store = follow(
+        Ok(Snapshot({}, 10)), fail(), fail(), Ok(Updates((("a", None),), 11))
+    )
+    assert store == [False, False, True]
+    assert taken[1][1] is True
+
+
+def test_failed_watch_does_not_lose_its_place(follow):
+    source, _, _ = follow(Ok(Snapshot({}, 10)), fail(), Ok(Updates((), 11)))
+    assert source.calls == ["list", 10, 10, 11]
--- /dev/null
+++ b/tests/entry/test_records.py
@@ -0,0 +1,60 @@
+import json
+import os
+
+import gevent
+
+from persimmonspur.clock import Clock, ManualClock
+from persimmonspur.entry import events
+from persimmonspur.entry.records import QUEUE_LINES, EventLog, LineBudget, LineWriter
+
+
+def open_pipe():
+    reading, writing = os.pipe()
+    return reading, LineWriter(writing), writing
+
+
+def test_event_is_one_json_line():
+    reading, writer, _writing = open_pipe()
+    EventLog("instance-1", Clock(), writer).record(events.STORE_REGAINED, feed="endpoints")
+    writer.flush()
+    line = json.loads(os.read(reading, 10_000))
+    assert line["code"] == "PS6102" and line["feed"] == "endpoints"
+    assert line["instance"] == "instance-1" and line["level"] == "INFO"
+
+
+def test_braces_in_fields_are_kept():
+    reading, writer, _writing = open_pipe()
+    EventLog("instance-1", Clock(), writer).record(events.STORE_REGAINED, feed="{x} <red>")
+    writer.flush()
+    assert json.loads(os.read(reading, 10_000))["feed"] == "{x} <red>"
+
+
+def test_full_pipe_does_not_block():
+    # Guards against a process that stops because nobody reads its log.
+    reading, writer, _writing = open_pipe()
+    with gevent.Timeout(5):
+        for _ in range(3 * QUEUE_LINES):
+            writer.write("x" * 100 + "\n")
+            writer.flush()
+    assert writer.dropped > 0
+    os.close(reading)
+    writer.flush()
+
+
+def test_lines_of_requests_are_bounded_and_counted():
+    clock = ManualClock()
+    budget = LineBudget(10.0, clock)
+    assert sum(budget.take() for _ in range(50)) == 10
+    assert budget.left_out == 40
+    clock.advance(500)
+    assert sum(budget.take() for _ in range(50)) == 5
+
+
+def test_closed_writer_writes_nothing_more():
+    # Guards against log lines that reach a socket which took over the descriptor's number.
+    reading, writer, _writing = open_pipe()
+    writer.write("first\n")
+    writer.close()
+    writer.write("second\n")
+    gevent.sleep(0.1)
+    assert os.read(reading, 100) == b"first\n"
--- /dev/null
+++ b/tests/entry/test_server.py
@@ -0,0 +1,194 @@
+"""The client side of the entry daemon on loopback."""
+
+import gevent
+import gevent.socket
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.routes import ClientLimits
+from persimmonspur.entry.server import HttpAnswer, HttpServer
+
+
+class Handler:
+    """Answers with the body; paths choose other behaviour."""
+
+    def __init__(self):
+        self.requests = []
+        self.left = 0
+        self.waiting = []
+
+    def handle(self, request, respond):
+        self.requests.append(request)
+        if request.target == b"/wait":
+            self.waiting.append(respond)
+            return self._leave
+        respond(HttpAnswer(200, [(b"X-Method", request.method.encode())], request.body))
+        return None
+
+    def _leave(self):
+        self.left += 1
+
+
+@pytest.fixture
+def server():
+    server = HttpServer("127.0.0.1:0", Handler(), lambda: LIMITS, Clock())
+    yield server
+    server.stop_accepting()
+    server.close_idle()
+
+
+LIMITS = ClientLimits(1_000, 5_000, 300.0, 600.0)
+
+
+def connect(server):
+    return gevent.socket.create_connection(server._sock.getsockname(), timeout=3)
+
+
+def read_all(sock):
+    data = b""
+    while True:
+        try:
+            piece = sock.recv(65_536)
+        except ConnectionResetError:
+            return data
+        if not piece:
+            return data
+        data += piece
+
+
+def exchange(server, data):
+    sock = connect(server)
+    sock.sendall(data)
+    return sock.recv(65_536)
+
+
+def test_body_with_a_length(server):
+    answer = exchange(server, b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+    assert answer.startswith(b"HTTP/1.1 200 OK") and answer.endswith(b"\r\n\r\nabc")
+
+
+def test_body_in_chunks(server):
+    answer = exchange(
+        server,
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+    )
+    assert answer.endswith(b"\r\n\r\nabc")
+
+
+def test_connection_is_kept_between_requests(server):
+    sock = connect(server)
+    for _ in range(3):
+        sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b"200 OK" in sock.recv(65_536)
+    assert server.accepted == 1
+
+
+def test_pipelined_requests_are_answered_in_order(server):
+    sock = connect(server)
+    sock.sendall(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n2"
+    )
+    gevent.sleep(0.05)
+    data = sock.recv(65_536)
+    assert data.index(b"\r\n\r\n1") < data.index(b"\r\n\r\n2")
+
+
+def test_client_that_leaves_is_seen_while_its_request_runs(server):
+    # Guards against endpoints that work on for clients that are gone.
+    sock = connect(server)
+    sock.sendall(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+    gevent.sleep(0.05)
+    sock.close()
+    gevent.sleep(0.05)
+    assert server.handler.left == 1
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2_000 + b"\r\n\r\n", b"431"),
+        (b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6000\r\n\r\n", b"413"),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1770\r\n"
+            + b"x" * 6_000
+            + b"\r\n0\r\n\r\n",
+            b"413",
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+    ],
+)
+def test_requests_out_of_bounds_are_rejected(server, data, status):
+    # Guards against smuggled requests and bodies without a bound.
+    sock = connect(server)
+    sock.sendall(data)
+    assert read_all(sock).split(b" ")[1] == status
+    assert server.handler.requests == []
+
+
+def test_slow_head_is_ended(server):
+    sock = connect(server)
+    sock.sendall(b"GET /a HT")
+    assert read_all(sock).split(b" ")[1] == b"408"
+
+
+def test_idle_connection_is_closed_after_the_limit(server):
+    sock = connect(server)
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    sock.recv(65_536)
+    gevent.sleep(LIMITS.idle_timeout_ms * 0.8 / 1000)
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert b"200 OK" in sock.recv(65_536)
+    assert read_all(sock) == b""
+
+
+def test_running_request_is_answered_while_the_server_closes(server):
+    # Guards against requests that are cut by a shutdown.
+    sock = connect(server)
+    sock.sendall(b"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+    gevent.sleep(0.05)
+    server.closing = True
+    server.stop_accepting()
+    assert server.close_idle() == 1
+    server.handler.waiting[0](HttpAnswer(200, [], b"done"))
+    data = read_all(sock)
+    assert b"Connection: close" in data and data.endswith(b"done")
+    assert server.close_idle() == 0
+
+
+def test_request_on_a_kept_connection_is_answered_while_the_server_closes(server):
+    sock = connect(server)
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    sock.recv(65_536)
+    server.closing = True
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert b"Connection: close" in read_all(sock)
+
+
+def test_head_answer_has_no_body(server):
+    answer = exchange(server, b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert answer.endswith(b"\r\n\r\n")
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.binary(max_size=300))
+def test_random_bytes_never_stop_the_server(data):
+    server = HttpServer("127.0.0.1:0", Handler(), lambda: LIMITS, Clock())
+    try:
+        sock = connect(server)
+        sock.sendall(data)
+        gevent.sleep(0)
+        sock.close()
+        answer = exchange(server, b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert b"200 OK" in answer
+    finally:
+        server.stop_accepting()
+        server.close_idle()
--- /dev/null
+++ b/tests/platform/platformsim.py
@@ -0,0 +1,295 @@
+"""Stand-ins of the platform for tests: its store and a searcher, by their published protocol."""
+
+import hashlib
+import json
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import gevent
+from attrs import define, field
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
+
+HISTORY = 1_000
+
+
+class StoreStandIn:
+    """Objects by kind and name with watches; faults are switched by attributes.
+
+    :ivar down: every call gets 503.
+    :ivar silent: calls are not answered.
+    :ivar lose_answers: number of coming writes that are done and not answered.
+    """
+
+    def __init__(self):
+        self.objects = {}
+        self.events = []
+        self.revision = 100
+        self.oldest = 100
+        self.calls = []
+        self.down = False
+        self.silent = False
+        self.lose_answers = 0
+        self.page = 500
+        self._changed = Event()
+        self._server = WSGIServer(("127.0.0.1", 0), self._handle, log=None, error_log=None)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def close(self):
+        self._server.stop(timeout=0.1)
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        item = {
+            "meta": {
+                "name": name,
+                "revision": self.revision,
+                "created": 1,
+                "finalizers": [],
+                "being_deleted": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self.objects.setdefault(kind, {})[name] = item
+        self._add_event(kind, item, False)
+
+    def delete(self, kind, name):
+        item = self.objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self.revision += 1
+            self._add_event(kind, item, True)
+
+    def forget_history(self):
+        self.oldest = self.revision + 1
+        self.events.clear()
+        self.revision += 1
+        self._wake()
+
+    def _add_event(self, kind, item, removed):
+        self.events.append((self.revision, kind, item, removed))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = Event()
+
+    def _handle(self, environ, start_response):
+        url = urlsplit(environ["PATH_INFO"] + "?" + environ["QUERY_STRING"])
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        method = environ["REQUEST_METHOD"]
+        body = environ["wsgi.input"].read()
+        self.calls.append((method, environ["PATH_INFO"], query))
+        while self.silent:
+            gevent.sleep(0.05)
+        if self.down:
+            return self._answer(start_response, 503, {"error": "down"})
+        names = unquote(url.path).removeprefix("/-/objects/").split("/")
+        status, document = self._call(method, names, query, body)
+        if method != "GET" and self.lose_answers:
+            self.lose_answers -= 1
+            environ["wsgi.input"].rfile.close()
+            raise ConnectionResetError("answer lost")
+        return self._answer(start_response, status, document)
+
+    def _call(self, method, names, query, body):
+        kind = names[0]
+        if method == "GET" and "watch" in query:
+            return self._watch(kind, int(query["watch"]), float(query.get("wait_ms", 0)))
+        if method == "GET":
+            return self._list(kind, query.get("after", ""))
+        if method == "DELETE":
+            known = names[1] in self.objects.get(kind, {})
+            self.delete(kind, names[1])
+            return (200 if known else 404), {}
+        document = json.loads(body)
+        name = document["meta"]["name"]
+        exists = name in self.objects.get(kind, {})
+        if method == "POST" and exists:
+            return 409, self.objects[kind][name]
+        if method == "PUT" and not exists:
+            return 404, {}
+        self.put(kind, name, document["spec"])
+        return 200, self.objects[kind][name]
+
+    def _list(self, kind, after):
+        names = sorted(name for name in self.objects.get(kind, {}) if name > after)
+        items = [self.objects[kind][name] for name in names[: self.page]]
+        return 200, {
+            "items": items,
+            "has_more": len(names) > self.page,
+            "store_revision": self.revision,
+        }
+
+    def _watch(self, kind, revision, wait_ms):
+        with gevent.Timeout(wait_ms / 1000, False):
+            while True:
+                if revision < self.oldest:
+                    return 410, {}
+                events = [event for event in self.events if event[0] > revision]
+                found = [event for event in events if event[1] == kind]
+                if found:
+                    break
+                self._changed.wait()
+        found = [event for event in self.events if event[0] > revision and event[1] == kind]
+        changes = [{"object": item, "removed": removed} for _, _, item, removed in found]
+        return 200, {"events": changes, "store_revision": self.revision}
+
+    @staticmethod
+    def _answer(start_response, status, document):
+        data = json.dumps(document).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        start_response(f"{status} Status", headers)
+        return [data]
+
+
+@define(eq=False)
+class SearcherStandIn:
+    """One searcher; ``answer`` may be replaced to misbehave.
+
+    :ivar runs: ids of requests that ran.
+    """
+
+    identity: str
+    latency_s: float = 0.0
+    answer: object = None
+    runs: list = field(factory=list)
+    received: list = field(factory=list)
+    connections: int = 0
+    left: int = 0
+    address: str = ""
+    _server: object = None
+
+    def __attrs_post_init__(self):
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def close(self):
+        self._server.stop(timeout=0.1)
+
+    def stamp(self, request_id):
+        return f"{self.identity}.{request_id}"
+
+    def records(self, count=5):
+        digests = (hashlib.md5(f"{self.identity}{index}".encode()) for index in range(count))
+        return b"".join(digest.digest() for digest in digests)
+
+    def response(self, headers, body=None, status=200, extra=b""):
+        request_id = headers.get("x-request-id", "")
+        body = self.records() if body is None else body
+        head = (
+            f"HTTP/1.1 {status} Status\r\nX-Request-Id: {request_id}\r\n"
+            f"X-Server-Stamp: {self.stamp(request_id)}\r\nX-Server-Load: 1,0,4\r\n"
+            f"Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n"
+        )
+        return head.encode() + extra + b"\r\n" + body
+
+    def _serve(self, sock, address):
+        self.connections += 1
+        stream = sock.makefile("rb")
+        while True:
+            line = stream.readline()
+            if not line:
+                break
+            headers = {}
+            while True:
+                header = stream.readline().strip()
+                if not header:
+                    break
+                name, _, value = header.decode().partition(":")
+                headers[name.lower()] = value.strip()
+            body = stream.read(int(headers.get("content-length", 0)))
+            self.received.append((line.decode().strip(), headers, body))
+            if headers.get("x-expect-instance", self.identity) != self.identity:
+                sock.sendall(
+                    b"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "
+                    + self.identity.encode()
+                    + b"\r\nContent-Length: 0\r\n\r\n"
+                )
+                continue
+            if self.latency_s:
+                gevent.sleep(self.latency_s)
+            self.runs.append(headers.get("x-request-id"))
+            answer = self.answer or (lambda headers: self.response(headers))
+            data = answer(headers)
+            if data is None:
+                break
+            try:
+                sock.sendall(data)
+            except OSError:
+                self.left += 1
+                break
+        sock.close()
+
+
+def make_configuration(version=1, routes=(), services=(), **limits):
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {
+                "name": service,
+                "health_path": "/health",
+                "max_conns": 76,
+                "protocol": "h1",
+                "tls": False,
+                "cold_s": 3.0,
+                "cold_per_s": 0.0,
+            }
+            for service in services
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 262144,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        }
+        | limits,
+    }
+
+
+def make_route(name="r1", service="s1", **fields):
+    return {
+        "name": name,
+        "host": "host.example",
+        "path_prefix": "/one/",
+        "kind": "idempotent",
+        "timeout_ms": 2000,
+        "latency_target_ms": 500,
+        "priority": 2,
+        "service": service,
+        "max_attempts": 2,
+    } | fields
+
+
+def make_gather_route(services, name="g1", **fields):
+    route = {
+        "name": name,
+        "host": "host.example",
+        "path_prefix": "/all/",
+        "kind": "idempotent",
+        "timeout_ms": 1500,
+        "latency_target_ms": 183,
+        "priority": 1,
+        "gather": list(services),
+        "max_attempts": 2,
+        "top_k": 5,
+        "min_share": 0.75,
+    }
+    return route | fields
+
+
+def make_entry(searcher, service, state="ready", zone="zone-a", **fields):
+    return {
+        "service": service,
+        "addr": searcher.address,
+        "zone": zone,
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "cold_left_ms": 0,
+        "seq": 1,
+        "born": 1_700_000_000_000,
+    } | fields
--- /dev/null
+++ b/tests/platform/test_entry.py
@@ -0,0 +1,298 @@
+"""One entry instance against stand-ins of the store and of searchers."""
+
+import json
+import socket
+
+import gevent
+import gevent.socket
+import pytest
+from platformsim import (
+    SearcherStandIn,
+    StoreStandIn,
+    make_configuration,
+    make_entry,
+    make_gather_route,
+    make_route,
+)
+
+from persimmonspur.clock import Clock
+from persimmonspur.entry.records import EventLog, LineWriter
+from persimmonspur.platform.run import build_instance, format_addresses
+from persimmonspur.platform.settings import EntrySettings
+
+
+def find_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Deployment:
+    """A store, searchers and one instance in this process."""
+
+    def __init__(self, tmp_path):
+        self.store = StoreStandIn()
+        self.searchers = {}
+        self.path = tmp_path / "log"
+        self._file = self.path.open("wb")
+        clock = Clock()
+        writer = LineWriter(self._file.fileno())
+        self.log = EventLog("front-1", clock, writer)
+        self.settings = EntrySettings(
+            "front-1",
+            "zone-a",
+            "region",
+            f"127.0.0.1:{find_port()}",
+            f"127.0.0.1:{find_port()}",
+            f"127.0.0.1:{find_port()}",
+            f"127.0.0.1:{find_port()}",
+            self.store.address,
+            3_000.0,
+            6_000.0,
+            0.2,
+            113.0,
+            10_000.0,
+            5_000.0,
+            1_000,
+        )
+        self.instance = build_instance(self.settings, clock, self.log)
+        self.server = None
+
+    def add_searcher(self, identity, service, **fields):
+        searcher = SearcherStandIn(identity, **fields)
+        self.searchers[identity] = searcher
+        self.store.put("servers", identity, make_entry(searcher, service))
+        return searcher
+
+    def configure(self, *routes, version=1, services=()):
+        self.store.put("config", "main", make_configuration(version, routes, services))
+
+    def start(self):
+        self.instance.start()
+        self.server = self.instance.serve(self.settings.caller_address, self.instance.requests)
+        gevent.sleep(0.1)
+
+    def ask(self, path, method="GET", body=b"", request_id="abc", deadline_ms=1_000):
+        host, _, port = self.settings.caller_address.partition(":")
+        sock = gevent.socket.create_connection((host, int(port)), timeout=3)
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        sock.sendall(
+            f"{method} {path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {request_id}\r\n"
+            f"X-Deadline-Ms: {deadline_ms}\r\n{length}Connection: close\r\n\r\n".encode()
+            + body
+        )
+        data = b""
+        while True:
+            piece = sock.recv(65_536)
+            if not piece:
+                break
+            data += piece
+        head, _, rest = data.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        fields = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(": ")
+            fields[name.lower()] = value
+        return int(lines[0].split(" ")[1]), fields, rest
+
+    def read_log(self):
+        self.log.flush()
+        return [json.loads(line) for line in self.path.read_text().splitlines()]
+
+    def close(self):
+        for feed in (
+            self.instance.configuration_feed,
+            self.instance.endpoint_feed,
+            self.instance.evacuation_feed,
+        ):
+            feed.stop()
+        self.instance.leaving = True
+        if self.instance.heartbeats is not None:
+            self.instance.heartbeats.close()
+        if self.server is not None:
+            self.server.stop_accepting()
+            self.server.close_idle()
+        for searcher in self.searchers.values():
+            searcher.close()
+        self.store.close()
+        self.log.close()
+        self._file.close()
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    deployment = Deployment(tmp_path)
+    yield deployment
+    deployment.close()
+
+
+def test_single_request_end_to_end(deployment):
+    deployment.add_searcher("i-1", "s1")
+    deployment.configure(make_route())
+    deployment.start()
+    status, fields, body = deployment.ask("/one/x?y=z")
+    assert status == 200
+    assert fields["x-server-stamp"] == "i-1.abc"
+    assert body == deployment.searchers["i-1"].records()
+    line, received, _ = deployment.searchers["i-1"].received[0]
+    assert line == "GET /one/x?y=z HTTP/1.1"
+    assert int(received["x-deadline-ms"]) <= 1_000
+
+
+def test_gather_end_to_end(deployment):
+    services = [f"s{index}" for index in range(4)]
+    for service in services:
+        deployment.add_searcher(f"i-{service}", service)
+    deployment.configure(make_gather_route(services))
+    deployment.start()
+    status, fields, body = deployment.ask("/all/x")
+    assert status == 200
+    assert sorted(fields["x-part-stamps"].split(", ")) == [f"i-{s}.abc" for s in services]
+    records = []
+    for searcher in deployment.searchers.values():
+        data = searcher.records()
+        records += [data[start : start + 16] for start in range(0, len(data), 16)]
+    assert body == b"".join(sorted(records, reverse=True)[:5])
+
+
+def test_unknown_route_is_404_only_with_a_configuration(deployment):
+    # Guards against an instance without a configuration that denies a proper request.
+    deployment.start()
+    status, fields, _ = deployment.ask("/one/x")
+    assert status == 503 and float(fields["retry-after"]) > 0
+    assert not deployment.instance.ready
+    deployment.configure(make_route())
+    gevent.sleep(0.1)
+    assert deployment.ask("/other/x")[0] == 404
+    assert deployment.instance.ready
+
+
+def test_new_configuration_is_in_force_at_once(deployment):
+    deployment.add_searcher("i-1", "s1")
+    deployment.add_searcher("i-2", "s2")
+    deployment.configure(make_route())
+    deployment.start()
+    assert deployment.ask("/one/x")[1]["x-server-stamp"] == "i-1.abc"
+    deployment.configure(make_route(service="s2"), version=5)
+    gevent.sleep(0.1)
+    assert deployment.ask("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+    deployment.configure(make_route(), version=3)
+    gevent.sleep(0.1)
+    assert deployment.ask("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+
+
+def test_draining_searcher_gets_nothing_more(deployment):
+    first = deployment.add_searcher("i-1", "s1")
+    second = deployment.add_searcher("i-2", "s1")
+    deployment.configure(make_route())
+    deployment.start()
+    deployment.store.put("servers", "i-1", make_entry(first, "s1", state="draining"))
+    gevent.sleep(0.1)
+    for _ in range(10):
+        assert deployment.ask("/one/x")[0] == 200
+    assert first.runs == [] and len(second.runs) == 10
+
+
+def test_evacuated_zone_gets_nothing_until_it_is_taken_back(deployment):
+    searcher = deployment.add_searcher("i-1", "s1")
+    deployment.configure(make_route())
+    deployment.start()
+    deployment.store.put("evacuations", "zone-a", {})
+    gevent.sleep(0.1)
+    assert deployment.ask("/one/x")[0] == 503
+    deployment.store.delete("evacuations", "zone-a")
+    gevent.sleep(0.1)
+    assert deployment.ask("/one/x")[0] == 200
+    assert len(searcher.runs) == 1
+
+
+def test_address_of_another_searcher_is_not_used(deployment):
+    # Guards against a request that runs at a service that took over an address.
+    searcher = deployment.add_searcher("i-1", "s1")
+    searcher.identity = "i-other"
+    other = deployment.add_searcher("i-2", "s1")
+    deployment.configure(make_route(kind="non_idempotent"))
+    deployment.start()
+    for index in range(4):
+        assert deployment.ask("/one/x", "POST", b"body", f"id-{index}")[0] == 200
+    assert searcher.runs == [] and len(other.runs) == 4
+
+
+def test_lost_answer_of_a_non_idempotent_request_is_not_repeated(deployment):
+    # Guards against a bill that is paid twice.
+    first = deployment.add_searcher("i-1", "s1", answer=lambda headers: None)
+    second = deployment.add_searcher("i-2", "s1", answer=lambda headers: None)
+    deployment.configure(make_route(kind="non_idempotent"))
+    deployment.start()
+    assert deployment.ask("/one/x", "POST", b"body")[0] == 502
+    assert len(first.runs) + len(second.runs) == 1
+
+
+def test_serves_on_while_the_store_is_away(deployment):
+    deployment.add_searcher("i-1", "s1")
+    deployment.configure(make_route())
+    deployment.start()
+    deployment.store.down = True
+    deployment.store.forget_history()
+    gevent.sleep(0.3)
+    assert deployment.ask("/one/x")[0] == 200
+    deployment.store.delete("servers", "i-1")
+    deployment.store.down = False
+    gevent.sleep(1.0)
+    assert deployment.ask("/one/x")[0] == 200
+    assert deployment.instance.endpoints.get("i-1") is not None
+
+
+def test_forged_entries_are_skipped(deployment):
+    searcher = deployment.add_searcher("i-1", "s1")
+    forged = make_entry(searcher, "s1") | {"addr": 5}
+    deployment.store.put("servers", "forged", forged)
+    deployment.configure(make_route())
+    deployment.start()
+    deployment.store.put("servers", "forged-2", "text")
+    gevent.sleep(0.1)
+    assert deployment.ask("/one/x")[0] == 200
+    assert [line["kind"] for line in deployment.read_log() if line["code"] == "PS6103"] == [
+        "endpoint",
+        "endpoint",
+    ]
+
+
+def test_instance_registers_and_names_itself(deployment):
+    deployment.configure()
+    deployment.start()
+    gevent.sleep(0.6)
+    assert "front-1" in deployment.store.objects["entry-instances"]
+    document = json.loads(format_addresses(deployment.instance, deployment.settings))
+    assert document["addrs"] == [deployment.settings.caller_address]
+    assert 0 < document["ttl_s"] <= 5
+    deployment.instance.leave()
+    gevent.sleep(0.1)
+    assert deployment.store.objects["entry-instances"] == {}
+
+
+def test_client_that_leaves_cancels_the_work(deployment):
+    searcher = deployment.add_searcher("i-1", "s1", latency_s=0.3)
+    deployment.configure(make_route())
+    deployment.start()
+    host, _, port = deployment.settings.caller_address.partition(":")
+    sock = gevent.socket.create_connection((host, int(port)))
+    sock.sendall(b"GET /one/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: a\r\n\r\n")
+    gevent.sleep(0.1)
+    assert deployment.instance.requests.running == 1
+    sock.close()
+    gevent.sleep(0.05)
+    assert deployment.instance.requests.running == 0
+    assert deployment.instance.sender._pools["i-1"].in_use == 0
+    assert searcher.connections == 1
+
+
+def test_failed_request_is_explained_in_the_log(deployment):
+    deployment.add_searcher("i-1", "s1", answer=lambda headers: None)
+    deployment.configure(make_route(kind="non_idempotent"))
+    deployment.start()
+    deployment.ask("/one/x", "POST", b"body", "lost-1")
+    lines = [line for line in deployment.read_log() if line.get("request_id") == "lost-1"]
+    assert [line["name"] for line in lines] == ["send_failed", "request_answered"]
+    assert lines[0]["endpoint"] == "i-1" and lines[0]["ran"] == "unknown"
+    assert lines[1]["status"] == 502
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,91 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.messages import Part
+from persimmonspur.entry.responses import HttpResponse
+from persimmonspur.entry.server import HttpRequest
+from persimmonspur.errors import Ran
+from persimmonspur.platform import headers
+
+ENDPOINT = Endpoint("i-1", "s", "10.0.0.1:80", "d", 4)
+
+
+def make_request(*fields, body=b"", method="GET"):
+    return HttpRequest(method, b"/a/b?c=d", list(fields), body, 5.0)
+
+
+def test_request_is_passed_on_unchanged_but_for_the_connection():
+    # Guards against a changed method, path, body or id at the endpoint.
+    received = headers.read_client_request(
+        make_request(
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"abc"),
+            (b"X-Deadline-Ms", b"600"),
+            (b"Connection", b"keep-alive, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"X-Expect-Instance", b"forged"),
+            (b"X-Other", b"2"),
+            body=b"xyz",
+            method="POST",
+        )
+    )
+    assert received.deadline_ms == 600 and received.request_id == "abc"
+    data = headers.format_endpoint_request(received, ENDPOINT, 480.7)
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /a/b?c=d HTTP/1.1"
+    assert body == b"xyz"
+    assert set(lines[1:]) == {
+        b"Host: h",
+        b"X-Request-Id: abc",
+        b"X-Other: 2",
+        b"Content-Length: 3",
+        b"X-Deadline-Ms: 480",
+        b"X-Expect-Instance: i-1",
+    }
+
+
+@given(st.binary(max_size=20))
+def test_any_deadline_is_read_or_ignored(value):
+    received = headers.read_client_request(make_request((b"X-Deadline-Ms", value)))
+    assert received.deadline_ms is None or received.deadline_ms >= 0
+
+
+def test_response_of_another_request_does_not_belong():
+    request = headers.read_client_request(make_request((b"X-Request-Id", b"abc")))
+    own = HttpResponse(200, [(b"x-request-id", b"abc")], b"", True)
+    other = HttpResponse(200, [(b"X-Request-Id", b"abd")], b"", True)
+    assert headers.belongs_to(own, request)
+    assert not headers.belongs_to(other, request)
+
+
+def test_rejections_say_that_the_request_did_not_run():
+    shed = headers.read_endpoint_reply(HttpResponse(503, [(b"X-Not-Executed", b"1")], b"", True))
+    assert shed.ran is Ran.NO and not shed.wrong_instance
+    other = headers.read_endpoint_reply(HttpResponse(421, [], b"", True))
+    assert other.ran is Ran.NO and other.wrong_instance
+    failed = headers.read_endpoint_reply(HttpResponse(503, [], b"", True))
+    assert failed.ran is Ran.YES
+
+
+def test_load_is_read_and_nonsense_ignored():
+    reply = headers.read_endpoint_reply(
+        HttpResponse(200, [(b"X-Server-Load", b"3,1,4")], b"", True)
+    )
+    assert reply.load == (3, 1)
+    reply = headers.read_endpoint_reply(HttpResponse(200, [(b"X-Server-Load", b"a,b")], b"", True))
+    assert reply.load is None
+
+
+def test_parts_are_named():
+    answers = headers.PlatformAnswers()
+    fields = dict(answers.format_parts([Part("s", "p1", b""), Part("t", "p2", b"")], 1))
+    assert fields[b"X-Part-Stamps"] == b"p1, p2"
+    assert fields[b"X-Missing-Parts"] == b"1"
+    assert b"X-Missing-Parts" not in dict(answers.format_parts([Part("s", "p1", b"")], 0))
+
+
+def test_refusal_says_when_to_come_back():
+    assert headers.PlatformAnswers().format_refusal(250.0) == [(b"Retry-After", b"0.250")]
