Avoid replicas that break connections instead of excluding them

Each reset excluded a replica for 250 ms or more; with all replicas of a shard excluded the shard was given up, and 28 queries ended 502 although sound replicas had room. Ruled out: the retry budget (no line says it was spent). A broken connection now counts into an error rate that fades; only endpoints that cannot be reached rest.

Tests: two fail without the change.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -263,18 +263,20 @@
     def _take_failure(
         self, leg: Leg, attempt: Attempt, failure: SendFailure, now_ms: float
     ) -> None:
-        self._tier.selector.note_failed(attempt.endpoint.identity, attempt.number, now_ms)
-        leg.reason = f"{attempt.endpoint.identity}: {failure.reason}"
+        identity = attempt.endpoint.identity
+        leg.reason = f"{identity}: {failure.reason}"
         if failure.ran is Ran.NO:
+            self._tier.selector.note_unreachable(identity, attempt.number, now_ms)
             leg.sent -= 1
         else:
+            self._tier.selector.note_broken(identity, attempt.number, now_ms)
             leg.may_have_run = True
         if leg.settled or self._done:
             return
         self._tier.on_decision(
             "send_failed",
             request_id=self._request.request_id,
-            endpoint=attempt.endpoint.identity,
+            endpoint=identity,
             ran=failure.ran.value,
             reason=failure.reason,
         )
@@ -286,7 +288,7 @@
         if reply.load is not None:
             selector.note_load(identity, reply.load[0], reply.load[1], now_ms)
         if reply.wrong_instance:
-            selector.note_failed(identity, attempt.number, now_ms)
+            selector.note_unreachable(identity, attempt.number, now_ms)
             # The endpoint at this address is another one, so no endpoint of the
             # service has seen the request.
             leg.sent -= 1
--- a/src/persimmonspur/core/fleet/selection.py
+++ b/src/persimmonspur/core/fleet/selection.py
@@ -20,8 +20,10 @@
 LOAD_FORGET_MS = 300.0
 # An unanswered request counts as overdue beyond this multiple of the expected latency.
 OVERDUE_RATIO = 1.5
-ERROR_WEIGHT = 0.2
-ERROR_PENALTY = 6.0
+ERROR_WEIGHT = 0.25
+ERROR_PENALTY = 10.0
+# The error rate of an endpoint that is not used falls with this time constant.
+ERROR_FORGET_MS = 4_000.0
 FAILURE_BACKOFF_MS = 250.0
 FAILURE_BACKOFF_MAX_MS = 3_000.0
 # Expected latency of a replica in another failure domain relative to a local one.
@@ -45,6 +47,7 @@
     others_load: float = 0.0
     load_ms: float = 0.0
     error_rate: float = 0.0
+    error_ms: float = 0.0
     failures: int = 0
     blocked_until_ms: float = 0.0
 
@@ -96,7 +99,7 @@
             load += state.others_load * math.exp((state.load_ms - now_ms) / LOAD_FORGET_MS)
         slots = max(1, endpoint.slots)
         score = factor * (1.0 + 0.3 * load / slots + max(0.0, load + 1 - slots) / slots)
-        score *= 1.0 + ERROR_PENALTY * state.error_rate
+        score *= 1.0 + ERROR_PENALTY * _fade_error_rate(state, now_ms)
         if endpoint.cold_until_ms > now_ms:
             score *= 1.6
         if endpoint.failure_domain != self._failure_domain:
@@ -118,12 +121,22 @@
         started_ms = state.outstanding.pop(attempt, now_ms)
         state.failures = 0
         state.blocked_until_ms = 0.0
-        state.error_rate += ERROR_WEIGHT * (float(failed) - state.error_rate)
+        _count_outcome(state, failed, now_ms)
         if not failed:
             self._sample(state, (now_ms - started_ms) / expected_ms, now_ms)
 
-    def note_failed(self, identity: str, attempt: int, now_ms: float) -> None:
-        """Take a broken or refused connection; the endpoint rests for a while."""
+    def note_broken(self, identity: str, attempt: int, now_ms: float) -> None:
+        """Take a connection that broke after the request was sent.
+
+        The endpoint may be sound but for some answers, so it is avoided in favour of
+        others and not excluded.
+        """
+        state = self.state(identity)
+        state.outstanding.pop(attempt, None)
+        _count_outcome(state, True, now_ms)
+
+    def note_unreachable(self, identity: str, attempt: int, now_ms: float) -> None:
+        """Take a refused connection, or one to another endpoint; the endpoint rests."""
         state = self.state(identity)
         state.outstanding.pop(attempt, None)
         state.failures += 1
@@ -134,8 +147,7 @@
         """Take an answer that says the request did not run; the endpoint is full."""
         state = self.state(identity)
         state.outstanding.pop(attempt, None)
-        state.error_rate += ERROR_WEIGHT * (1.0 - state.error_rate)
-        state.load_ms = now_ms
+        _count_outcome(state, True, now_ms)
 
     def note_abandoned(
         self, identity: str, attempt: int, expected_ms: float, now_ms: float
@@ -167,3 +179,13 @@
         past = 1.0 + (state.factor - 1.0) * math.exp((state.sampled_ms - now_ms) / FORGET_MS)
         state.factor = past + SAMPLE_WEIGHT * (ratio - past)
         state.sampled_ms = now_ms
+
+
+def _fade_error_rate(state: ReplicaState, now_ms: float) -> float:
+    return state.error_rate * math.exp((state.error_ms - now_ms) / ERROR_FORGET_MS)
+
+
+def _count_outcome(state: ReplicaState, failed: bool, now_ms: float) -> None:
+    rate = _fade_error_rate(state, now_ms)
+    state.error_rate = rate + ERROR_WEIGHT * (float(failed) - rate)
+    state.error_ms = now_ms
--- a/tests/core/fleet/test_exchange.py
+++ b/tests/core/fleet/test_exchange.py
@@ -1,5 +1,7 @@
 """Requests of the direct path against simulated endpoints."""
 
+import random
+
 import pytest
 
 from fleetsim import SimTier, make_gather_route, make_route
@@ -291,3 +293,58 @@
     assert complete / len(results) > 0.97
     extra = len(sim.sender.sends) - 10 * len(results)
     assert extra / (10 * len(results)) < 0.05
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_replicas_that_lose_answers_are_avoided(seed):
+    # The load: 15 shards of three replicas, half of all replicas reset 40% of what
+    # they ran. Guards against a retry budget that is spent on the same bad replicas
+    # while a good one of the shard has room.
+    sim = SimTier(seed=seed, slack=10.0)
+    route = make_gather_route(shards=15, objective_ms=180.0)
+    sim.add_route_services(route)
+    rng = random.Random(seed)
+    bad = set()
+    for service in route.gather.shards:
+        bad.update(rng.sample([f"{service}-{index}" for index in range(3)], rng.choice([1, 2])))
+    sim.sender.latency_ms = lambda send: rng.uniform(20.0, 40.0)
+    results = []
+    for step in range(1_000):
+        if step == 400:
+            sim.sender.resets = lambda send: send.endpoint.identity in bad and rng.random() < 0.4
+        _, answers = sim.start(route)
+        results.append(answers)
+        sim.timers.advance(20)
+    sim.timers.advance(1_500)
+    trouble = results[420:]
+    full = sum(answers[0].covered == 15 for answers in trouble)
+    assert full / len(trouble) > 0.98
+    failed = sum(answers[0].status != 200 for answers in trouble)
+    assert failed == 0
+
+
+def test_all_replicas_that_reset_are_still_tried():
+    # Guards against a shard that is given up because each replica broke one connection.
+    sim = SimTier()
+    route = make_route(max_attempts=1)
+    sim.add_route_services(route)
+    for identity in ("single-0", "single-1", "single-2"):
+        sim.selector.note_sent(identity, 0, sim.clock.now_ms())
+        sim.selector.note_broken(identity, 0, sim.clock.now_ms())
+    _, answers = sim.start(route)
+    sim.sender.sends[-1].reply(200)
+    assert answers[0].status == 200
+
+
+def test_endpoint_that_refuses_connections_rests():
+    # Guards against callers that wait for an endpoint that is down.
+    sim = SimTier()
+    route = make_route()
+    sim.add_service("single", replicas=1)
+    sim.start(route)
+    sim.sender.sends[0].fail(Ran.NO, "refused")
+    _, answers = sim.start(route)
+    assert answers[0].status == 503
+    sim.timers.advance(400)
+    sim.start(route)
+    assert len(sim.sender.sends) == 2
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -87,13 +87,17 @@
 
 @define
 class SimSender:
-    """Records sends; answers them by itself when ``latency_ms`` is set."""
+    """Records sends; answers them by itself when ``latency_ms`` is set.
+
+    ``resets`` says which sends end with a reset connection instead of an answer.
+    """
 
     clock: ManualClock
     timers: SimTimers
     sends: list = field(factory=list)
     latency_ms: object = None
     full: set = field(factory=set)
+    resets: object = None
 
     def send(self, endpoint, request, timeout_ms, on_result):
         if endpoint.identity in self.full:
@@ -101,7 +105,9 @@
         send = SimSend(endpoint, request, timeout_ms, on_result, self.clock.now_ms())
         self.sends.append(send)
         if self.latency_ms is not None:
-            self.timers.call_later(self.latency_ms(send), send.reply)
+            reset = self.resets is not None and self.resets(send)
+            end = send.fail if reset else send.reply
+            self.timers.call_later(self.latency_ms(send), end)
         return send
 
     def to(self, service):
