Notice a watch that a silent store never answers

Peers with the newer version did not show it, since each heartbeat of another lagging peer cleared the note. Ruled out: a slow change feed (instances whose watch was answered had the version within 50 ms). After a failure a watch waits 1 s at most until one succeeds; a lag behind the newest announced version is tracked by itself, for configurations and endpoints.

--- a/src/persimmonspur/entry/calls.py
+++ b/src/persimmonspur/entry/calls.py
@@ -25,7 +25,6 @@
         """
         self._address = address
         self._pool = ConnectionPool(address, CONNECTIONS, clock, timers)
-        self._waiting: set[Call] = set()
         self.calls = 0
 
     def call(
@@ -46,7 +45,12 @@
         )
         if not self._pool.start(call, timeout_ms):
             return Error(_describe(method, path, Ran.NO, "all connections are in use"))
-        result = outcome.get()
+        try:
+            result = outcome.get()
+        except BaseException:
+            # The greenlet is stopped; its connection may be silent.
+            call.abandon()
+            raise
         assert result is not None
         return result
 
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -28,7 +28,7 @@
     6104,
     "watch_stuck",
     "WARNING",
-    "peer {peer} has configuration {newer}, this instance {version}; listing again",
+    "peer {peer} knows {feed} up to {newer}, this instance up to {own}; calling the store anew",
 )
 CONFIGURATION_IN_EFFECT = define_event(
     6201, "configuration_in_effect", "INFO", "configuration {version} is in effect"
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -5,7 +5,7 @@
 from typing import Generic, Protocol, TypeVar
 
 import gevent
-from attrs import field, frozen
+from attrs import frozen
 from expression import Result
 
 from persimmonspur.clock import Clock
@@ -14,6 +14,9 @@
 T = TypeVar("T")
 
 WATCH_MS = 20_000.0
+# After a failed call the next ones wait for this time only: a store that went silent
+# never answers the calls of that time.
+PROBE_MS = 1_000.0
 BACKOFF_FIRST_MS = 150.0
 BACKOFF_MAX_MS = 1_500.0
 # Removals within this time after an outage may be entries that lapsed meanwhile.
@@ -24,21 +27,27 @@
 class Snapshot(Generic[T]):
     """All objects of a kind.
 
+    :param newest: revision of the latest change among the objects.
     :param rejected: entries that cannot be used, with the reasons.
     """
 
     items: dict[str, T]
     revision: int
+    newest: int = 0
     rejected: tuple[Failure, ...] = ()
 
 
 @frozen
 class Updates(Generic[T]):
-    """Changes since a revision; a removed object is ``None``."""
+    """Changes since a revision; a removed object is ``None``.
+
+    :param newest: revision of the latest change among them; 0 without changes.
+    """
 
     changes: tuple[tuple[str, T | None], ...]
     revision: int
-    rejected: tuple[Failure, ...] = field(default=())
+    newest: int = 0
+    rejected: tuple[Failure, ...] = ()
 
 
 class Source(Protocol[T]):
@@ -55,6 +64,7 @@
     """Keeps one kind of object up to date.
 
     :ivar revision: of the newest state that was applied.
+    :ivar newest: revision of the latest change that was applied.
     :ivar reached_ms: local time of the last successful call.
     """
 
@@ -87,7 +97,9 @@
         self._greenlet: gevent.Greenlet[[], None] | None = None
         self._backoff_ms = 0.0
         self._recovered_ms = -RECOVERY_MS
+        self._suspect = False
         self.revision = 0
+        self.newest = 0
         self.reached_ms = 0.0
 
     def start(self) -> None:
@@ -101,9 +113,9 @@
             self._greenlet = None
 
     def restart(self) -> None:
-        """List again because the present watch has missed something."""
+        """Call the store anew because the present call may never be answered."""
         self.stop()
-        self.revision = 0
+        self._suspect = True
         self.start()
 
     def _follow(self) -> None:
@@ -121,14 +133,17 @@
         self._note_reached()
         self._on_snapshot(listed.ok, self._is_recovering())
         self.revision = listed.ok.revision
+        self.newest = max(self.newest, listed.ok.newest)
 
     def _watch_once(self) -> None:
         # The spread keeps instances that started together from calling together.
-        wait_ms = WATCH_MS * (0.75 + 0.25 * self._rng.random())
+        longest_ms = PROBE_MS if self._backoff_ms or self._suspect else WATCH_MS
+        wait_ms = longest_ms * (0.75 + 0.25 * self._rng.random())
         watched = self._source.watch(self.revision, wait_ms)
         if watched.is_error():
             if watched.error.kind is ErrorKind.CONFLICT:
                 self.revision = 0
+                self._suspect = False
                 return
             self._back_off(watched.error)
             return
@@ -136,6 +151,8 @@
         if watched.ok.changes or watched.ok.rejected:
             self._on_updates(watched.ok, self._is_recovering())
         self.revision = watched.ok.revision
+        self.newest = max(self.newest, watched.ok.newest)
+        self._suspect = False
         if watched.ok.changes and self._pause_ms:
             gevent.sleep(self._pause_ms / 1000)
 
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -21,7 +21,7 @@
     """What an instance tells the others.
 
     :param configuration: version of its route table; 0 if it has none.
-    :param endpoints: store revision of its endpoint list.
+    :param endpoints: store revision of the latest change of an endpoint that it knows.
     """
 
     name: str
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -1,7 +1,7 @@
 """One entry instance: its parts and what connects them."""
 
 import random
-from typing import Protocol
+from typing import Any, Protocol
 
 import gevent
 from attrs import frozen
@@ -12,6 +12,7 @@
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
 from persimmonspur.core.fleet.endpoints import Endpoint, EndpointDirectory
 from persimmonspur.core.fleet.exchange import Tier
+from persimmonspur.core.fleet.lag import LagDetector
 from persimmonspur.core.fleet.latency import RouteLatencies
 from persimmonspur.core.fleet.members import Member, Membership, choose_entry_set
 from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer
@@ -33,8 +34,6 @@
 MAINTENANCE_MS = 500.0
 # Changes of endpoints come in bursts; the rest between two watches.
 ENDPOINT_PAUSE_MS = 250.0
-# A peer that knows a newer state for this long shows that a watch here is stuck.
-STALE_MS = 1_000.0
 DEFAULT_CONNECTIONS = 64
 
 
@@ -127,7 +126,8 @@
         )
         self.requests = RequestSurface(self.tier, self.routes, codecs.client, self._record_finished)
         self.leaving = False
-        self._stale_since_ms: float | None = None
+        self._configuration_lag = LagDetector()
+        self._endpoint_lag = LagDetector()
         self.configuration_feed: Feed[RouteTable] = Feed(
             "configuration",
             sources.configuration,
@@ -238,7 +238,7 @@
     def _describe(self) -> tuple[bool, int, int]:
         table = self.routes.table
         version = table.version if table is not None else 0
-        return self.ready, version, self.endpoint_feed.revision
+        return self.ready, version, self.endpoint_feed.newest
 
     def _take_heartbeat(self, member: Member, heartbeat: Heartbeat) -> None:
         now_ms = self.clock.now_ms()
@@ -249,18 +249,20 @@
                 incarnation=member.incarnation,
                 ready=heartbeat.ready,
             )
+        self._compare(heartbeat, now_ms)
+
+    def _compare(self, heartbeat: Heartbeat, now_ms: float) -> None:
         table = self.routes.table
         version = table.version if table is not None else 0
-        if heartbeat.configuration <= version:
-            self._stale_since_ms = None
-        elif self._stale_since_ms is None:
-            self._stale_since_ms = now_ms
-        elif now_ms - self._stale_since_ms > STALE_MS:
-            self._stale_since_ms = None
-            self.log.record(
-                events.WATCH_STUCK, version=version, newer=heartbeat.configuration, peer=member.name
-            )
-            self.configuration_feed.restart()
+        if self._configuration_lag.note(heartbeat.configuration, version, now_ms):
+            self._renew(self.configuration_feed, version, heartbeat.configuration, heartbeat.name)
+        newest = self.endpoint_feed.newest
+        if self._endpoint_lag.note(heartbeat.endpoints, newest, now_ms):
+            self._renew(self.endpoint_feed, newest, heartbeat.endpoints, heartbeat.name)
+
+    def _renew(self, feed: Feed[Any], own: int, newer: int, peer: str) -> None:
+        self.log.record(events.WATCH_STUCK, feed=feed.name, own=own, newer=newer, peer=peer)
+        feed.restart()
 
     def _maintain(self) -> None:
         self.timers.call_later(MAINTENANCE_MS, self._maintain)
--- a/src/persimmonspur/platform/sources.py
+++ b/src/persimmonspur/platform/sources.py
@@ -61,7 +61,8 @@
                 rejected.append(read.error)
                 continue
             items[item.meta.name] = read.ok
-        return Snapshot(items, listing.revision, tuple(rejected))
+        newest = max((item.meta.revision for item in listing.objects), default=0)
+        return Snapshot(items, listing.revision, newest, tuple(rejected))
 
     def _read_changes(self, changes: Changes) -> Updates[T]:
         updates: list[tuple[str, T | None]] = []
@@ -78,7 +79,8 @@
                 updates.append((name, None))
                 continue
             updates.append((name, read.ok))
-        return Updates(tuple(updates), changes.revision, tuple(rejected))
+        newest = max((change.object.meta.revision for change in changes.changes), default=0)
+        return Updates(tuple(updates), changes.revision, newest, tuple(rejected))
 
 
 def open_configuration_source(store: PlatformStore) -> KindSource[RouteTable]:
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -16,6 +16,7 @@
     def __init__(self, *results):
         self.results = list(results)
         self.calls = []
+        self.waits = []
 
     def _next(self):
         if not self.results:
@@ -28,6 +29,7 @@
 
     def watch(self, revision, wait_ms):
         self.calls.append(revision)
+        self.waits.append(wait_ms)
         return self._next()
 
 
@@ -53,6 +55,7 @@
             Clock(),
             random.Random(1),
         )
+        source.feed = feed
         feed.start()
         running.append(feed)
         gevent.sleep(0.05)
@@ -92,3 +95,22 @@
 def test_failed_watch_does_not_lose_its_place(follow):
     source, _, _ = follow(Ok(Snapshot({}, 10)), fail(), Ok(Updates((), 11)))
     assert source.calls == ["list", 10, 10, 11]
+
+
+def test_calls_after_a_failure_wait_only_a_little(follow):
+    # Guards against a watch that was sent to a silent store and waits for its full time
+    # although the store is back.
+    source, _, _ = follow(
+        Ok(Snapshot({}, 10)), fail(), fail(), Ok(Updates((), 11)), Ok(Updates((), 12))
+    )
+    assert source.waits[0] > feeds.PROBE_MS
+    assert all(wait_ms <= feeds.PROBE_MS for wait_ms in source.waits[1:3])
+    assert source.waits[3] > feeds.PROBE_MS
+
+
+def test_restarted_feed_calls_at_once_and_keeps_its_place(follow):
+    source, _, _ = follow(Ok(Snapshot({}, 10)))
+    source.feed.restart()
+    gevent.sleep(0.01)
+    assert source.calls == ["list", 10, 10]
+    assert source.waits[1] <= feeds.PROBE_MS
