Hand the store's state from instance to instance

It now takes configuration, endpoints and evacuations from the peer whose heartbeat announces a newer state, over HTTP on the peer address. Older state changes nothing.

--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -30,6 +30,13 @@
     born_ms: int = 0
     cold_until_ms: float = 0.0
 
+    def move_cold_end(self, shift_ms: float) -> "Endpoint":
+        """Return the endpoint with the end of its cold start in another clock.
+
+        :param shift_ms: that clock's time less the present one's.
+        """
+        return evolve(self, cold_until_ms=self.cold_until_ms + shift_ms)
+
 
 class EndpointDirectory:
     """Endpoints by service, without those that drain or whose failure domain is evacuated."""
@@ -54,6 +61,15 @@
         """Return a known endpoint, also a draining one."""
         return self._known.get(identity)
 
+    def list_all(self) -> list[Endpoint]:
+        """Return all known endpoints."""
+        return list(self._known.values())
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose endpoints get no requests."""
+        return self._evacuated
+
     def identities(self) -> frozenset[str]:
         """Return the identities of all known endpoints."""
         return frozenset(self._known)
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -30,6 +30,15 @@
     "WARNING",
     "peer {peer} knows {feed} up to {newer}, this instance up to {own}; calling the store anew",
 )
+PEER_STATE_TAKEN = define_event(
+    6105,
+    "peer_state_taken",
+    "INFO",
+    "took configuration {version} and endpoints up to {newest} from peer {peer}",
+)
+PEER_STATE_FAILED = define_event(
+    6106, "peer_state_failed", "WARNING", "peer {peer} did not hand over its state: {reason}"
+)
 CONFIGURATION_IN_EFFECT = define_event(
     6201, "configuration_in_effect", "INFO", "configuration {version} is in effect"
 )
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -102,6 +102,11 @@
         self.newest = 0
         self.reached_ms = 0.0
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._backoff_ms > 0
+
     def start(self) -> None:
         """Start to follow."""
         self._greenlet = gevent.spawn(self._follow)
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -19,8 +19,10 @@
 from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.entry import events
+from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
 from persimmonspur.entry.heartbeats import Heartbeat, Heartbeats
+from persimmonspur.entry.peerstate import PeerState, PeerStateSurface, fetch_state
 from persimmonspur.entry.records import EventLog
 from persimmonspur.entry.sender import EndpointCodec, EndpointSender
 from persimmonspur.entry.server import Handler, HttpServer
@@ -158,6 +160,7 @@
             rng,
         )
         self.heartbeats: Heartbeats | None = None
+        self._peer_server: HttpServer | None = None
 
     @property
     def ready(self) -> bool:
@@ -170,6 +173,9 @@
         :raises OSError: if the peer address cannot be bound.
         """
         self.heartbeats = Heartbeats(self.membership, self._describe, self._take_heartbeat)
+        self._peer_server = self.serve(
+            self.identity.member.peer_address, PeerStateSurface(self.describe_state)
+        )
         self.configuration_feed.start()
         self.endpoint_feed.start()
         self.evacuation_feed.start()
@@ -191,6 +197,19 @@
             self.heartbeats.send()
         gevent.spawn(self._sources.registry.unregister, self.identity.member.name)
 
+    def stop(self) -> None:
+        """Stop feeds, heartbeats and the peer address; idempotent."""
+        self.leaving = True
+        for feed in (self.configuration_feed, self.endpoint_feed, self.evacuation_feed):
+            feed.stop()
+        if self.heartbeats is not None:
+            self.heartbeats.close()
+            self.heartbeats = None
+        if self._peer_server is not None:
+            self._peer_server.stop_accepting()
+            self._peer_server.close_idle()
+            self._peer_server = None
+
     def get_client_limits(self) -> ClientLimits:
         """Return what clients may send."""
         table = self.routes.table
@@ -249,22 +268,61 @@
                 incarnation=member.incarnation,
                 ready=heartbeat.ready,
             )
-        self._compare(heartbeat, now_ms)
+        self._compare(member, heartbeat, now_ms)
 
-    def _compare(self, heartbeat: Heartbeat, now_ms: float) -> None:
+    def _compare(self, member: Member, heartbeat: Heartbeat, now_ms: float) -> None:
         table = self.routes.table
         version = table.version if table is not None else 0
         if self._configuration_lag.note(heartbeat.configuration, version, now_ms):
-            self._renew(self.configuration_feed, version, heartbeat.configuration, heartbeat.name)
+            self._renew(self.configuration_feed, version, heartbeat.configuration, member)
         newest = self.endpoint_feed.newest
         if self._endpoint_lag.note(heartbeat.endpoints, newest, now_ms):
-            self._renew(self.endpoint_feed, newest, heartbeat.endpoints, heartbeat.name)
+            self._renew(self.endpoint_feed, newest, heartbeat.endpoints, member)
 
-    def _renew(self, feed: Feed[Any], own: int, newer: int, peer: str) -> None:
-        self.log.record(events.WATCH_STUCK, feed=feed.name, own=own, newer=newer, peer=peer)
-        feed.restart()
+    def _renew(self, feed: Feed[Any], own: int, newer: int, peer: Member) -> None:
+        self.log.record(events.WATCH_STUCK, feed=feed.name, own=own, newer=newer, peer=peer.name)
+        if feed.failing:
+            # The store does not answer this instance; a peer can.
+            gevent.spawn(self._take_peer_state, peer)
+        else:
+            feed.restart()
+
+    def _take_peer_state(self, peer: Member) -> None:
+        fetched = fetch_state(HttpCaller(peer.peer_address, self.clock, self.timers))
+        if fetched.is_error():
+            self.log.record(events.PEER_STATE_FAILED, peer=peer.name, reason=fetched.error.message)
+            return
+        state = fetched.ok
+        now_ms = self.clock.now_ms()
+        table = state.build_table()
+        if table is not None:
+            self._take_table(table)
+        if state.newest > self.endpoint_feed.newest:
+            self.endpoints.replace_all(state.build_endpoints(now_ms), False, now_ms)
+            self.endpoint_feed.newest = state.newest
+            self._evacuated = set(state.evacuated)
+            self._apply_evacuations()
+        self.log.record(
+            events.PEER_STATE_TAKEN, peer=peer.name, version=state.version, newest=state.newest
+        )
+
+    def describe_state(self) -> PeerState:
+        """Return what this instance knows from the store, for a peer."""
+        table = self.routes.table
+        return PeerState(
+            table.version if table is not None else 0,
+            list(table.routes) if table is not None else [],
+            table.services if table is not None else {},
+            self.get_client_limits(),
+            self.endpoints.list_all(),
+            self.endpoint_feed.newest,
+            sorted(self.endpoints.evacuated),
+            self.clock.now_ms(),
+        )
 
     def _maintain(self) -> None:
+        if self.heartbeats is None:
+            return
         self.timers.call_later(MAINTENANCE_MS, self._maintain)
         now_ms = self.clock.now_ms()
         self.membership.own_ready = self.ready
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -30,16 +30,17 @@
 class Deployment:
     """A store, searchers and one instance in this process."""
 
-    def __init__(self, tmp_path):
-        self.store = StoreStandIn()
+    def __init__(self, tmp_path, store=None, name="front-1"):
+        self.owns_store = store is None
+        self.store = store or StoreStandIn()
         self.searchers = {}
-        self.path = tmp_path / "log"
+        self.path = tmp_path / name
         self._file = self.path.open("wb")
         clock = Clock()
         writer = LineWriter(self._file.fileno())
-        self.log = EventLog("front-1", clock, writer)
+        self.log = EventLog(name, clock, writer)
         self.settings = EntrySettings(
-            "front-1",
+            name,
             "zone-a",
             "region",
             f"127.0.0.1:{find_port()}",
@@ -100,21 +101,14 @@
         return [json.loads(line) for line in self.path.read_text().splitlines()]
 
     def close(self):
-        for feed in (
-            self.instance.configuration_feed,
-            self.instance.endpoint_feed,
-            self.instance.evacuation_feed,
-        ):
-            feed.stop()
-        self.instance.leaving = True
-        if self.instance.heartbeats is not None:
-            self.instance.heartbeats.close()
+        self.instance.stop()
         if self.server is not None:
             self.server.stop_accepting()
             self.server.close_idle()
         for searcher in self.searchers.values():
             searcher.close()
-        self.store.close()
+        if self.owns_store:
+            self.store.close()
         self.log.close()
         self._file.close()
 
@@ -296,3 +290,65 @@
     assert [line["name"] for line in lines] == ["send_failed", "request_answered"]
     assert lines[0]["endpoint"] == "i-1" and lines[0]["ran"] == "unknown"
     assert lines[1]["status"] == 502
+
+
+@pytest.fixture
+def pair(tmp_path):
+    """Two instances, each with its own way to one platform's store."""
+    first = Deployment(tmp_path, name="front-1")
+    second = Deployment(tmp_path, name="front-2")
+    second.store.objects = first.store.objects
+    yield first, second
+    second.close()
+    first.close()
+
+
+def introduce(first, second):
+    for one, other in ((first, second), (second, first)):
+        one.instance.membership.register(other.instance.identity.member, 0.0)
+
+
+def test_instance_that_the_store_turns_away_learns_from_a_peer(pair):
+    # Guards against an instance that serves an old configuration for as long as the
+    # store answers only the others.
+    first, second = pair
+    first.add_searcher("i-1", "s1")
+    first.configure(make_route(), version=1)
+    first.start()
+    second.start()
+    introduce(first, second)
+    second.store.down = True
+    second.store.forget_history()
+    first.add_searcher("i-2", "s2")
+    first.configure(make_route(service="s2"), version=2)
+    gevent.sleep(2.5)
+    assert second.ask("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+    names = [line["name"] for line in second.read_log()]
+    assert "peer_state_taken" in names
+
+
+def test_instance_that_starts_without_the_store_learns_from_a_peer(pair):
+    first, second = pair
+    first.add_searcher("i-1", "s1")
+    first.configure(make_route())
+    first.start()
+    second.store.down = True
+    second.start()
+    assert second.ask("/one/x")[0] == 503
+    introduce(first, second)
+    gevent.sleep(2.5)
+    assert second.instance.ready
+    assert second.ask("/one/x")[0] == 200
+
+
+def test_older_state_of_a_peer_changes_nothing(pair):
+    first, _second = pair
+    first.add_searcher("i-1", "s1")
+    first.configure(make_route(), version=5)
+    first.start()
+    state = first.instance.describe_state()
+    assert state.build_table().version == 5
+    assert [endpoint.identity for endpoint in state.build_endpoints(0.0)] == ["i-1"]
+    first.instance.endpoint_feed.newest += 1
+    first.instance._take_peer_state(first.instance.identity.member)
+    assert first.instance.routes.table.version == 5
