Explain each request in one log line; serve metrics; read changed settings

request_answered holds the request's id, route, configuration version, outcome and every send with the figures that decided it and their age. Repeated store failures are one line when they begin and one when they end. The settings file is read again after SIGHUP and every 2 s.

--- a/src/persimmonspur/core/fleet/budget.py
+++ b/src/persimmonspur/core/fleet/budget.py
@@ -61,6 +61,11 @@
         self._windows: dict[str, _Window] = {}
         self.instances = 1
 
+    def set_limits(self, ratio: float, slack: float) -> None:
+        """Change the limits; what was spent stays counted."""
+        self._ratio = ratio
+        self._slack = slack
+
     def note_first(self, service: str, now_ms: float) -> None:
         """Count the first send of a request to a service."""
         window = self._windows.setdefault(service, _Window())
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -16,6 +16,8 @@
 from persimmonspur.core.fleet.latency import RouteLatencies
 from persimmonspur.core.fleet.merge import merge_greatest
 from persimmonspur.core.fleet.messages import (
+    AttemptKind,
+    AttemptRecord,
     ClientRequest,
     EndpointReply,
     FinalAnswer,
@@ -50,11 +52,11 @@
 
 @frozen
 class Attempt:
-    """One send to one endpoint."""
+    """One send to one endpoint that has no result yet."""
 
     number: int
     endpoint: Endpoint
-    hedge: bool
+    record: AttemptRecord
     send: Send
 
 
@@ -84,7 +86,11 @@
 
 @frozen
 class Tier:
-    """What all requests of one instance share."""
+    """What all requests of one instance share.
+
+    :param on_decision: told of decisions about one request, by name and fields.
+    :param count: counts sends by kind, and sends that the budget denied.
+    """
 
     clock: Clock
     timers: Timers
@@ -96,6 +102,7 @@
     cold: ColdStartLimit
     answers: AnswerFormat
     on_decision: Callable[..., None]
+    count: Callable[[str], None]
 
 
 class Exchange:
@@ -130,7 +137,7 @@
         self._timers: list[TimerHandle] = []
         self._done = False
         self._partial_due = False
-        self._attempts = 0
+        self._attempts: list[AttemptRecord] = []
 
     @property
     def done(self) -> bool:
@@ -153,7 +160,7 @@
                 self._fail_leg(leg, "no usable endpoint")
                 continue
             self._tier.budget.note_first(leg.service, now_ms)
-            if not self._send(leg, endpoint, hedge=False):
+            if not self._send(leg, endpoint, AttemptKind.FIRST):
                 self._send_elsewhere(leg, extra=False)
         self._set_timers(now_ms, left_ms)
         self._check()
@@ -210,7 +217,7 @@
         per_s = limits.cold_per_s if limits is not None else 0.0
         return self._tier.cold.take(endpoint.identity, per_s, now_ms)
 
-    def _send(self, leg: Leg, endpoint: Endpoint, hedge: bool) -> bool:
+    def _send(self, leg: Leg, endpoint: Endpoint, kind: AttemptKind) -> bool:
         now_ms = self._tier.clock.now_ms()
         number = next(_attempt_numbers)
         left_ms = self._deadline_ms - now_ms - ANSWER_MARGIN_MS
@@ -224,12 +231,28 @@
         leg.tried.append(endpoint.identity)
         if send is None:
             return False
-        leg.running[number] = Attempt(number, endpoint, hedge, send)
+        record = self._record_attempt(endpoint, kind, now_ms)
+        leg.running[number] = Attempt(number, endpoint, record, send)
         leg.sent += 1
-        self._attempts += 1
+        self._attempts.append(record)
         self._tier.selector.note_sent(endpoint.identity, number, now_ms)
         return True
 
+    def _record_attempt(
+        self, endpoint: Endpoint, kind: AttemptKind, now_ms: float
+    ) -> AttemptRecord:
+        state = self._tier.selector.state(endpoint.identity)
+        self._tier.count(kind.value)
+        return AttemptRecord(
+            endpoint.identity,
+            endpoint.service,
+            kind,
+            now_ms,
+            state.factor,
+            now_ms - state.sampled_ms if state.sampled_ms else -1.0,
+            len(state.outstanding),
+        )
+
     def _send_elsewhere(self, leg: Leg, extra: bool) -> None:
         """Send a leg again after a send that failed.
 
@@ -242,8 +265,10 @@
                 break
             if extra and not self._tier.budget.take(leg.service, now_ms, hedge=False):
                 leg.reason += "; retry budget spent"
+                self._tier.count("retry_denied")
                 break
-            if self._send(leg, endpoint, hedge=False):
+            kind = AttemptKind.RETRY if extra else AttemptKind.FIRST
+            if self._send(leg, endpoint, kind):
                 return
         if not leg.running:
             self._fail_leg(leg, leg.reason or "no other endpoint")
@@ -253,9 +278,12 @@
         if attempt is None:
             return
         now_ms = self._tier.clock.now_ms()
+        attempt.record.took_ms = now_ms - attempt.record.sent_ms
         if isinstance(result, SendFailure):
+            attempt.record.result = result.reason
             self._take_failure(leg, attempt, result, now_ms)
         else:
+            attempt.record.result = str(result.status)
             self._take_reply(leg, attempt, result, now_ms)
         if not self._done:
             self._check()
@@ -353,8 +381,9 @@
         if endpoint is None:
             return False
         if not self._tier.budget.take(leg.service, now_ms, hedge=True):
+            self._tier.count("hedge_denied")
             return False
-        return self._send(leg, endpoint, hedge=True)
+        return self._send(leg, endpoint, AttemptKind.HEDGE)
 
     def _allow_partial(self) -> None:
         self._partial_due = True
@@ -454,7 +483,7 @@
                 answer.outcome,
                 answer.covered,
                 answer.total,
-                self._attempts,
+                tuple(self._attempts),
                 reasons,
             )
         )
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -1,9 +1,10 @@
 """Requests, answers and send results of the direct path."""
 
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Protocol
 
-from attrs import field, frozen
+from attrs import define, field, frozen
 
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.errors import Ran
@@ -110,6 +111,37 @@
         """Call a function once after a delay in milliseconds."""
 
 
+class AttemptKind(StrEnum):
+    """Why a request was sent to an endpoint."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+@define
+class AttemptRecord:
+    """One send of a request and the figures that decided it.
+
+    :param sent_ms: local time of the send.
+    :param factor: the endpoint's latency relative to the typical one, as known then.
+    :param factor_age_ms: age of that figure.
+    :param outstanding: requests of this instance that the endpoint had not answered.
+    :param result: empty while it runs.
+    :param took_ms: time from the send to its result.
+    """
+
+    endpoint: str
+    service: str
+    kind: AttemptKind
+    sent_ms: float
+    factor: float
+    factor_age_ms: float
+    outstanding: int
+    result: str = ""
+    took_ms: float = 0.0
+
+
 @frozen
 class FinalAnswer:
     """What the client gets.
@@ -117,6 +149,8 @@
     :param outcome: one word for logs and metrics.
     :param covered: shards in the answer.
     :param total: shards of the route; 1 without a gather.
+    :param attempts: all sends, in order.
+    :param reason: why shards are missing or the request failed.
     """
 
     status: int
@@ -125,7 +159,7 @@
     outcome: str
     covered: int = 0
     total: int = 0
-    attempts: int = 0
+    attempts: tuple[AttemptRecord, ...] = ()
     reason: str = ""
 
 
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -17,10 +17,21 @@
 SETTINGS_UNREADABLE = define_event(
     6005, "settings_unreadable", "ERROR", "the settings file is unreadable: {reason}"
 )
+SETTINGS_IN_EFFECT = define_event(
+    6007, "settings_in_effect", "INFO", "the settings in effect are {settings}"
+)
+PROCESS_STALLED = define_event(
+    6006, "process_stalled", "WARNING", "the process stood still for {stall_ms} ms"
+)
 STORE_CALL_FAILED = define_event(
     6101, "store_call_failed", "WARNING", "a store call for {feed} failed: {reason}"
 )
-STORE_REGAINED = define_event(6102, "store_regained", "INFO", "the store answers again for {feed}")
+STORE_REGAINED = define_event(
+    6102,
+    "store_regained",
+    "INFO",
+    "the store answers again for {feed} after {failed_calls} failed calls",
+)
 ENTRY_REJECTED = define_event(
     6103, "entry_rejected", "WARNING", "a {kind} entry in the store is unusable: {reason}"
 )
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -83,7 +83,7 @@
 
         :param on_snapshot: takes a list, and whether the store was away before.
         :param on_updates: takes changes, and whether the store was away before.
-        :param on_store: told of a failed call, or of the first good one after it.
+        :param on_store: told of each call and its failure.
         :param pause_ms: rest after changes, so that a burst of them costs few calls.
         """
         self.name = name
@@ -169,7 +169,7 @@
         if self._backoff_ms:
             self._backoff_ms = 0.0
             self._recovered_ms = self.reached_ms
-            self._on_store(self.name, None)
+        self._on_store(self.name, None)
 
     def _back_off(self, failure: Failure) -> None:
         self._on_store(self.name, failure)
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -15,13 +15,13 @@
 from persimmonspur.core.fleet.lag import LagDetector
 from persimmonspur.core.fleet.latency import RouteLatencies
 from persimmonspur.core.fleet.members import Member, Membership, choose_entry_set
-from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer
 from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.entry import events
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
 from persimmonspur.entry.heartbeats import Heartbeat, Heartbeats
+from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerState, PeerStateSurface, fetch_state
 from persimmonspur.entry.records import EventLog
 from persimmonspur.entry.sender import EndpointCodec, EndpointSender
@@ -29,7 +29,6 @@
 from persimmonspur.entry.surfaces import ClientCodec, RequestSurface
 from persimmonspur.entry.timers import LoopTimers
 from persimmonspur.errors import Failure
-from persimmonspur.events import EventType
 
 # Instances that callers are sent to.
 ENTRY_SET_SIZE = 4
@@ -37,18 +36,18 @@
 # Changes of endpoints come in bursts; the rest between two watches.
 ENDPOINT_PAUSE_MS = 250.0
 DEFAULT_CONNECTIONS = 64
+# A maintenance that is this late shows that the process stood still.
+STALL_MS = 300.0
 
 
 @frozen
 class Identity:
-    """Who this instance is and where it listens.
+    """Who this instance is and what it keeps to.
 
     :param shutdown_ms: time from SIGTERM until the process is killed.
     """
 
     member: Member
-    ready_address: str
-    resolve_address: str
     shutdown_ms: float
     retry_ratio: float
     retry_slack: float
@@ -101,6 +100,7 @@
         self.identity = identity
         self.clock = clock
         self.log = log
+        self.observer = Observer(log)
         self.timers = timers
         self._sources = sources
         rng = random.Random(identity.member.name + str(identity.member.incarnation))
@@ -124,9 +124,12 @@
             self.budget,
             self.cold,
             codecs.answers,
-            self._record_decision,
+            self.observer.note_decision,
+            self.observer.metrics.count_send,
+        )
+        self.requests = RequestSurface(
+            self.tier, self.routes, codecs.client, self.observer.note_finished
         )
-        self.requests = RequestSurface(self.tier, self.routes, codecs.client, self._record_finished)
         self.leaving = False
         self._configuration_lag = LagDetector()
         self._endpoint_lag = LagDetector()
@@ -135,7 +138,7 @@
             sources.configuration,
             self._take_configurations,
             self._take_configuration_updates,
-            self._note_store,
+            self.observer.note_store_call,
             clock,
             rng,
         )
@@ -144,7 +147,7 @@
             sources.endpoints,
             self._take_endpoints,
             self._take_endpoint_updates,
-            self._note_store,
+            self.observer.note_store_call,
             clock,
             rng,
             ENDPOINT_PAUSE_MS,
@@ -155,12 +158,15 @@
             sources.evacuations,
             self._take_evacuations,
             self._take_evacuation_updates,
-            self._note_store,
+            self.observer.note_store_call,
             clock,
             rng,
         )
         self.heartbeats: Heartbeats | None = None
         self._peer_server: HttpServer | None = None
+        self._last_tick_ms = 0.0
+        self._stall_ms = 0.0
+        self._add_gauges()
 
     @property
     def ready(self) -> bool:
@@ -233,7 +239,7 @@
         registered = self._sources.registry.register(self.identity.member)
         delay_ms = 200.0
         while registered.is_error() and not self.leaving:
-            self._note_store("registration", registered.error)
+            self.observer.note_store_call("registration", registered.error)
             gevent.sleep(delay_ms / 1000)
             delay_ms = min(2_000.0, delay_ms * 2)
             registered = self._sources.registry.register(self.identity.member)
@@ -250,7 +256,7 @@
                 if self.heartbeats is not None:
                     self.heartbeats.send()
                 return
-            self._note_store("members", listed.error)
+            self.observer.note_store_call("members", listed.error)
             gevent.sleep(delay_ms / 1000)
             delay_ms = min(2_000.0, delay_ms * 2)
 
@@ -325,6 +331,7 @@
             return
         self.timers.call_later(MAINTENANCE_MS, self._maintain)
         now_ms = self.clock.now_ms()
+        self._note_stall(now_ms)
         self.membership.own_ready = self.ready
         for identity in self.endpoints.expire(now_ms):
             self.log.record(events.ENDPOINT_REMOVED, endpoint=identity, reason="did not come back")
@@ -410,35 +417,46 @@
         if self._evacuated:
             self.log.record(events.EVACUATED, failure_domains=sorted(self._evacuated))
 
-    def _note_store(self, feed: str, failure: Failure | None) -> None:
-        if failure is None:
-            self.log.record(events.STORE_REGAINED, feed=feed)
-        else:
-            self.log.record(events.STORE_CALL_FAILED, feed=feed, reason=failure.message)
-
-    def _record_decision(self, name: str, **fields: object) -> None:
-        event: EventType = events.DECISIONS[name]
-        self.log.record_request(event, failed=True, **fields)
-
-    def _record_finished(
-        self,
-        request: ClientRequest,
-        route: str,
-        version: int,
-        answer: FinalAnswer,
-        duration_ms: float,
-    ) -> None:
-        self.log.record_request(
-            events.REQUEST_ANSWERED,
-            failed=answer.status != 200 or answer.covered < answer.total,
-            request_id=request.request_id,
-            route=route,
-            version=version,
-            status=answer.status,
-            outcome=answer.outcome,
-            covered=answer.covered,
-            total=answer.total,
-            attempts=answer.attempts,
-            duration_ms=round(duration_ms, 1),
-            reason=answer.reason,
+    def _note_stall(self, now_ms: float) -> None:
+        """Notice that this process stood still, because of its machine or its own work."""
+        late_ms = now_ms - self._last_tick_ms - MAINTENANCE_MS
+        if self._last_tick_ms and late_ms > STALL_MS:
+            self.log.record(events.PROCESS_STALLED, stall_ms=round(late_ms))
+            self._stall_ms += late_ms
+        self._last_tick_ms = now_ms
+
+    def _add_gauges(self) -> None:
+        metrics = self.observer.metrics
+        metrics.add_gauge(
+            "persimmonspur_state_version",
+            "Version of the configuration, and store revision of the latest endpoint change",
+            "state",
+            lambda: {
+                "configuration": self.routes.table.version if self.routes.table else 0,
+                "endpoints": self.endpoint_feed.newest,
+            },
+        )
+        metrics.add_gauge(
+            "persimmonspur_store_reached_seconds",
+            "Time since the last successful call of the store",
+            "feed",
+            self._measure_store_ages,
+        )
+        metrics.add_gauge(
+            "persimmonspur_instance",
+            "Requests that run, client connections, known endpoints, ready instances",
+            "count",
+            lambda: {
+                "requests": self.requests.running,
+                "endpoints": len(self.endpoints),
+                "instances": len(self.membership.ready_members(self.clock.now_ms())),
+                "endpoint_connections_opened": self.sender.count_opened(),
+                "log_lines_dropped": self.log.dropped,
+                "stalled_ms": self._stall_ms,
+            },
         )
+
+    def _measure_store_ages(self) -> dict[str, float]:
+        now_ms = self.clock.now_ms()
+        feeds = (self.configuration_feed, self.endpoint_feed, self.evacuation_feed)
+        return {feed.name: (now_ms - feed.reached_ms) / 1000 for feed in feeds}
--- a/src/persimmonspur/entry/records.py
+++ b/src/persimmonspur/entry/records.py
@@ -3,6 +3,7 @@
 import os
 import sys
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -122,14 +123,18 @@
         """Write one event of the process; always written."""
         self._write(event, fields)
 
-    def record_request(self, event: EventType, failed: bool, **fields: Any) -> None:
+    def record_request(
+        self, event: EventType, failed: bool, describe: Callable[[], dict[str, Any]]
+    ) -> None:
         """Write one event of a request if the budget of lines allows.
 
-        :param failed: whether the request, or a step of it, failed.
+        :param failed: whether the request, or a step of it, failed or was late.
+        :param describe: returns the fields; not called for a line that is left out.
         """
         budget = self._failures if failed else self._routine
         if not budget.take():
             return
+        fields = describe()
         if budget.left_out:
             fields["left_out_before"] = budget.left_out
             budget.left_out = 0
--- a/src/persimmonspur/entry/run.py
+++ b/src/persimmonspur/entry/run.py
@@ -17,20 +17,24 @@
 # The process exits this long before it would be killed.
 EXIT_MARGIN_MS = 500.0
 POLL_MS = 50.0
+RELOAD_MS = 2_000.0
 
 
 @frozen
-class Surfaces:
-    """What is served besides requests."""
+class Surface:
+    """What is served on one address besides requests."""
 
-    ready: Handler
-    resolve: Handler
+    address: str
+    handler: Handler
 
 
-def run_entry(instance: EntryInstance, surfaces: Surfaces, on_reload: Callable[[], None]) -> int:
+def run_entry(
+    instance: EntryInstance, surfaces: list[Surface], on_reload: Callable[[], None]
+) -> int:
     """Serve until SIGTERM, then finish what runs.
 
-    :param on_reload: called after SIGHUP.
+    :param on_reload: called after SIGHUP and every :data:`RELOAD_MS`, since the settings
+        may change without a signal.
     :returns: the exit code.
     """
     stopping = Event()
@@ -42,10 +46,9 @@
     ]
     identity = instance.identity
     clients = instance.serve(identity.member.caller_address, instance.requests)
-    others = [
-        instance.serve(identity.ready_address, surfaces.ready),
-        instance.serve(identity.resolve_address, surfaces.resolve),
-    ]
+    others = [instance.serve(surface.address, surface.handler) for surface in surfaces]
+    reloader = loop.timer(RELOAD_MS / 1000, RELOAD_MS / 1000)
+    reloader.start(on_reload)
     instance.start()
     instance.log.record(
         events.ENTRY_STARTED,
@@ -54,7 +57,7 @@
     )
     stopping.wait()
     _shut_down(instance, clients, others)
-    for watcher in watchers:
+    for watcher in (reloader, *watchers):
         watcher.stop()
     return 0
 
@@ -77,5 +80,6 @@
         gevent.sleep(POLL_MS / 1000)
     for server in others:
         server.stop_accepting()
+    instance.stop()
     instance.log.record(events.ENTRY_STOPPED, running=instance.requests.running)
     instance.log.flush()
--- a/src/persimmonspur/entry/surfaces.py
+++ b/src/persimmonspur/entry/surfaces.py
@@ -7,11 +7,13 @@
 from persimmonspur.core.fleet.exchange import Exchange, Tier
 from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer, Headers
 from persimmonspur.core.fleet.routes import RouteTableHolder, WeightedRotation
+from persimmonspur.entry.metrics import CONTENT_TYPE
+from persimmonspur.entry.observer import FinishedRequest
 from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
 
 RETRY_AFTER_UNREADY_MS = 500.0
 
-OnFinished = Callable[[ClientRequest, str, int, FinalAnswer, float], None]
+OnFinished = Callable[[FinishedRequest], None]
 
 
 class ClientCodec(Protocol):
@@ -72,9 +74,8 @@
         def finish(answer: FinalAnswer) -> None:
             self.running -= 1
             now_ms = self._tier.clock.now_ms()
-            self._on_finished(
-                received, route.name, table.version, answer, now_ms - received.arrived_ms
-            )
+            duration_ms = now_ms - received.arrived_ms
+            self._on_finished(FinishedRequest(received, route, table.version, answer, duration_ms))
             respond(HttpAnswer(answer.status, answer.headers, answer.body))
 
         exchange = Exchange(self._tier, table, route, services, received, finish)
@@ -87,9 +88,8 @@
             exchange.leave()
             answer = FinalAnswer(0, [], b"", "client_left")
             now_ms = self._tier.clock.now_ms()
-            self._on_finished(
-                received, route.name, table.version, answer, now_ms - received.arrived_ms
-            )
+            duration_ms = now_ms - received.arrived_ms
+            self._on_finished(FinishedRequest(received, route, table.version, answer, duration_ms))
 
         exchange.start()
         return leave
@@ -104,7 +104,7 @@
         version: int,
     ) -> None:
         answer = FinalAnswer(status, headers, outcome.encode(), outcome)
-        self._on_finished(request, "", version, answer, 0.0)
+        self._on_finished(FinishedRequest(request, None, version, answer, 0.0))
         respond(HttpAnswer(status, answer.headers, answer.body))
 
 
@@ -149,3 +149,18 @@
         domain = fields.get("zone", [""])[0]
         headers = [(b"Content-Type", b"application/json")]
         respond(HttpAnswer(200, headers, self._resolve(region, domain)))
+
+
+class MetricsSurface:
+    """Serves the metrics as text."""
+
+    def __init__(self, path: str, format_text: Callable[[], bytes]) -> None:
+        self._path = path
+        self._format_text = format_text
+
+    def handle(self, request: HttpRequest, respond: Respond) -> None:
+        """Answer one request."""
+        if request.target.partition(b"?")[0].decode("latin-1") != self._path:
+            respond(HttpAnswer(404))
+            return
+        respond(HttpAnswer(200, [(b"Content-Type", CONTENT_TYPE)], self._format_text()))
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Any
 
+import attrs
 import msgspec
 from expression import Result
 
@@ -11,17 +12,20 @@
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.members import Member
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, Headers
+from persimmonspur.entry import events as entry_events
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.instance import Codecs, EntryInstance, Identity, Sources
+from persimmonspur.entry.metrics import format_metrics
 from persimmonspur.entry.records import EventLog, open_log
 from persimmonspur.entry.responses import HttpResponse
-from persimmonspur.entry.run import Surfaces, run_entry
+from persimmonspur.entry.run import Surface, run_entry
 from persimmonspur.entry.server import HttpRequest
-from persimmonspur.entry.surfaces import ReadySurface, ResolveSurface
+from persimmonspur.entry.surfaces import MetricsSurface, ReadySurface, ResolveSurface
 from persimmonspur.entry.timers import LoopTimers
 from persimmonspur.errors import ANSWERS, ErrorKind, Failure
 from persimmonspur.platform import headers
 from persimmonspur.platform.documents import format_member
+from persimmonspur.platform.reload import SettingsWatch
 from persimmonspur.platform.settings import (
     SETTINGS_VARIABLE,
     EntrySettings,
@@ -37,6 +41,9 @@
 
 READY_PATH = "/-/ready"
 RESOLVE_PATH = "/-/resolve"
+METRICS_PATH = "/metrics"
+# Address on which metrics are served; without it they are not.
+METRICS_VARIABLE = "PERSIMMONSPUR_METRICS_ADDRESS"
 # How long clients keep an answer about addresses.
 KEEP_MS = 2_000.0
 
@@ -94,12 +101,36 @@
         return ANSWERS[ErrorKind.INVALID_SETTINGS].exit_code
     settings = loaded.ok
     clock = Clock()
-    instance = build_instance(settings, clock, open_log(settings.instance, clock))
-    surfaces = Surfaces(
-        ReadySurface(READY_PATH, lambda: instance.ready),
-        ResolveSurface(RESOLVE_PATH, lambda region, domain: format_addresses(instance, settings)),
+    log = open_log(settings.instance, clock)
+    instance = build_instance(settings, clock, log)
+    watch = SettingsWatch(path, settings, log)
+
+    def reload() -> None:
+        changed = watch.read_changes()
+        if changed is not None:
+            instance.budget.set_limits(changed.retry_ratio, changed.retry_slack)
+
+    log.record(entry_events.SETTINGS_IN_EFFECT, settings=attrs.asdict(settings))
+    return run_entry(instance, build_surfaces(instance, settings), reload)
+
+
+def build_surfaces(instance: EntryInstance, settings: EntrySettings) -> list[Surface]:
+    """Return what is served besides requests."""
+    ready = ReadySurface(READY_PATH, lambda: instance.ready)
+    resolve = ResolveSurface(
+        RESOLVE_PATH, lambda region, domain: format_addresses(instance, settings)
     )
-    return run_entry(instance, surfaces, lambda: None)
+    surfaces = [
+        Surface(settings.ready_address, ready),
+        Surface(settings.resolve_address, resolve),
+    ]
+    address = os.environ.get(METRICS_VARIABLE, "")
+    if address:
+        metrics = instance.observer.metrics
+        surfaces.append(
+            Surface(address, MetricsSurface(METRICS_PATH, lambda: format_metrics(metrics)))
+        )
+    return surfaces
 
 
 def build_instance(settings: EntrySettings, clock: Clock, log: EventLog) -> EntryInstance:
@@ -116,8 +147,6 @@
     )
     identity = Identity(
         member,
-        settings.ready_address,
-        settings.resolve_address,
         settings.shutdown_ms,
         settings.retry_ratio,
         settings.retry_slack,
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -80,7 +80,7 @@
         Ok(Snapshot({}, 10)), fail(ErrorKind.CONFLICT), Ok(Snapshot({"a": 1}, 20))
     )
     assert source.calls == ["list", 10, "list", 20]
-    assert store == []
+    assert store == [True, True]
     assert taken[1] == (Snapshot({"a": 1}, 20), False)
 
 
@@ -88,7 +88,7 @@
     _source, taken, store = follow(
         Ok(Snapshot({}, 10)), fail(), fail(), Ok(Updates((("a", None),), 11))
     )
-    assert store == [False, False, True]
+    assert store == [True, False, False, True]
     assert taken[1][1] is True
 
 
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 
 from attrs import define, field
 
@@ -162,6 +163,7 @@
         self.selector = ReplicaSelector("domain-0", random.Random(seed))
         self.budget = RetryBudget(ratio, slack, 10_000.0)
         self.decisions = []
+        self.counts = Counter()
         self.tier = Tier(
             self.clock,
             self.timers,
@@ -173,9 +175,13 @@
             ColdStartLimit("instance-0"),
             SimAnswers(),
             lambda name, **fields: self.decisions.append((name, fields)),
+            self._count,
         )
         self.services = {}
 
+    def _count(self, name):
+        self.counts[name] += 1
+
     def add_service(self, service, replicas=3, cold_per_s=0.0, **fields):
         self.services[service] = ServiceLimits(service, "/health", 76, 3_000.0, cold_per_s)
         for index in range(replicas):
