Refuse for want of room at once; hedge only into free slots

Also: a status that promises "not run" is not passed on after a run, a success without a proof is no part; the exchange is split into legs, tier and exchange.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -7,13 +7,8 @@
 import itertools
 from collections.abc import Callable
 
-from attrs import define, field, frozen
-
-from persimmonspur.clock import Clock
-from persimmonspur.core.fleet.answers import AnswerFormat
-from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
-from persimmonspur.core.fleet.endpoints import Endpoint, EndpointDirectory
-from persimmonspur.core.fleet.latency import RouteLatencies
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.legs import Attempt, Leg
 from persimmonspur.core.fleet.merge import merge_greatest
 from persimmonspur.core.fleet.messages import (
     AttemptKind,
@@ -22,15 +17,12 @@
     EndpointReply,
     FinalAnswer,
     Part,
-    Send,
-    Sender,
     SendFailure,
     SendResult,
     TimerHandle,
-    Timers,
 )
 from persimmonspur.core.fleet.routes import Route, RouteTable
-from persimmonspur.core.fleet.selection import ReplicaSelector
+from persimmonspur.core.fleet.tier import Tier, learn_from_failure, learn_from_reply
 from persimmonspur.errors import Ran
 
 # The final answer leaves this long before the deadline so that it arrives in time.
@@ -44,65 +36,18 @@
 HEDGE_REPEAT_PART = 0.15
 # A non-idempotent request is not sent with less than this left.
 LEAST_SEND_MS = 5.0
+# Part of the latency objective that a request may wait for a slot.
+QUEUE_PART = 0.35
 RETRY_AFTER_UNAVAILABLE_MS = 400.0
-RETRY_AFTER_FULL_MS = 250.0
-
-_attempt_numbers = itertools.count(1)
-
-
-@frozen
-class Attempt:
-    """One send to one endpoint that has no result yet."""
-
-    number: int
-    endpoint: Endpoint
-    record: AttemptRecord
-    send: Send
-
-
-@define(eq=False)
-class Leg:
-    """The part of a request that goes to one service.
-
-    :param sent: sends that may have reached an endpoint.
-    :param tried: identities that this request was sent to.
-    """
-
-    service: str
-    sent: int = 0
-    tried: list[str] = field(factory=list)
-    running: dict[int, Attempt] = field(factory=dict)
-    part: Part | None = None
-    failed: bool = False
-    may_have_run: bool = False
-    last_reply: EndpointReply | None = None
-    reason: str = ""
-
-    @property
-    def settled(self) -> bool:
-        """Whether nothing more is expected."""
-        return self.failed or self.part is not None
-
-
-@frozen
-class Tier:
-    """What all requests of one instance share.
+# When to come back after a refusal for want of room, in parts of the latency objective:
+# about the time in which a full queue empties. The spread keeps callers apart.
+RETRY_AFTER_LEAST_PART = 1.0
+RETRY_AFTER_SPREAD_PART = 2.0
 
-    :param on_decision: told of decisions about one request, by name and fields.
-    :param count: counts sends by kind, and sends that the budget denied.
-    """
+# Statuses that promise to a client that its request did not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
-    clock: Clock
-    timers: Timers
-    sender: Sender
-    endpoints: EndpointDirectory
-    selector: ReplicaSelector
-    latencies: RouteLatencies
-    budget: RetryBudget
-    cold: ColdStartLimit
-    answers: AnswerFormat
-    on_decision: Callable[..., None]
-    count: Callable[[str], None]
+_attempt_numbers = itertools.count(1)
 
 
 class Exchange:
@@ -149,11 +94,11 @@
         now_ms = self._tier.clock.now_ms()
         choices = [self._choose(leg, now_ms) for leg in self._legs]
         if not self._suffices(sum(choice is not None for choice in choices)):
-            self._refuse("unavailable", RETRY_AFTER_UNAVAILABLE_MS)
+            self._refuse_start()
             return
         left_ms = self._deadline_ms - now_ms - ANSWER_MARGIN_MS
         if left_ms < LEAST_SEND_MS:
-            self._refuse("too_late", RETRY_AFTER_FULL_MS)
+            self._refuse("too_late", self._choose_return_ms())
             return
         for leg, endpoint in zip(self._legs, choices, strict=True):
             if endpoint is None:
@@ -211,6 +156,9 @@
         return None
 
     def _may_use(self, endpoint: Endpoint, now_ms: float) -> bool:
+        wait_ms = QUEUE_PART * self._route.objective_ms
+        if not self._tier.selector.has_room(endpoint, self._expected_ms, wait_ms, now_ms):
+            return False
         if endpoint.cold_until_ms <= now_ms:
             return True
         limits = self._table.services.get(endpoint.service)
@@ -291,13 +239,12 @@
     def _take_failure(
         self, leg: Leg, attempt: Attempt, failure: SendFailure, now_ms: float
     ) -> None:
+        learn_from_failure(self._tier.selector, attempt, failure, now_ms)
         identity = attempt.endpoint.identity
         leg.reason = f"{identity}: {failure.reason}"
         if failure.ran is Ran.NO:
-            self._tier.selector.note_unreachable(identity, attempt.number, now_ms)
             leg.sent -= 1
         else:
-            self._tier.selector.note_broken(identity, attempt.number, now_ms)
             leg.may_have_run = True
         if leg.settled or self._done:
             return
@@ -311,44 +258,39 @@
         self._recover(leg, arrived=failure.ran is not Ran.NO)
 
     def _take_reply(self, leg: Leg, attempt: Attempt, reply: EndpointReply, now_ms: float) -> None:
-        identity = attempt.endpoint.identity
-        selector = self._tier.selector
-        if reply.load is not None:
-            selector.note_load(identity, reply.load[0], reply.load[1], now_ms)
+        learn_from_reply(
+            self._tier.selector, self._latency, self._expected_ms, attempt, reply, now_ms
+        )
         if reply.wrong_instance:
-            selector.note_unreachable(identity, attempt.number, now_ms)
-            # The endpoint at this address is another one, so no endpoint of the
-            # service has seen the request.
+            # No endpoint of the service has seen the request.
             leg.sent -= 1
-            leg.reason = f"{identity}: another endpoint has its address"
-            if not (leg.settled or self._done):
-                self._recover(leg, arrived=True)
-            return
-        if reply.ran is Ran.NO:
-            selector.note_rejected(identity, attempt.number, now_ms)
-            leg.reason = f"{identity}: rejected with status {reply.status}"
-            if not (leg.settled or self._done):
-                self._recover(leg, arrived=True)
-            return
-        started_ms = selector.state(identity).outstanding.get(attempt.number, now_ms)
-        failed = reply.status >= 500
-        selector.note_answered(identity, attempt.number, self._expected_ms, failed, now_ms)
-        leg.may_have_run = True
-        if not failed:
-            self._latency.observe(now_ms - started_ms, now_ms)
-            self._latency.observe_service(now_ms - started_ms)
+        if reply.ran is not Ran.NO:
+            leg.may_have_run = True
         if leg.settled or self._done:
             return
+        identity = attempt.endpoint.identity
+        if reply.wrong_instance:
+            leg.reason = f"{identity}: another endpoint has its address"
+        elif reply.ran is Ran.NO:
+            leg.reason = f"{identity}: rejected with status {reply.status}"
+        else:
+            self._take_outcome(leg, identity, reply)
+        if not leg.settled:
+            self._recover(leg, arrived=True)
+
+    def _take_outcome(self, leg: Leg, identity: str, reply: EndpointReply) -> None:
+        """Take the response of an endpoint that ran the request."""
         leg.last_reply = reply
-        if 200 <= reply.status < 300:
-            leg.part = Part(leg.service, reply.stamp, reply.body)
-            return
         leg.reason = f"{identity}: status {reply.status}"
-        if reply.status < 500:
+        if 200 <= reply.status < 300:
+            if reply.stamp:
+                leg.part = Part(leg.service, reply.stamp, reply.body)
+                leg.reason = ""
+            else:
+                leg.reason = f"{identity}: a success without a proof"
+        elif reply.status < 500 and reply.status not in NOT_RUN_STATUSES:
             # Another endpoint of the service would answer the same.
-            self._fail_leg(leg, leg.reason)
-            return
-        self._recover(leg, arrived=True)
+            leg.failed = True
 
     def _recover(self, leg: Leg, arrived: bool) -> None:
         if leg.running:
@@ -380,6 +322,9 @@
         endpoint = self._choose(leg, now_ms)
         if endpoint is None:
             return False
+        if not self._tier.selector.has_room(endpoint, self._expected_ms, 0.0, now_ms):
+            # Without a free slot the hedge only delays other requests.
+            return False
         if not self._tier.budget.take(leg.service, now_ms, hedge=True):
             self._tier.count("hedge_denied")
             return False
@@ -399,7 +344,7 @@
         if any(leg.sent or leg.may_have_run for leg in self._legs):
             self._give_up("timeout", 504)
         else:
-            self._refuse("timeout_unsent", RETRY_AFTER_FULL_MS)
+            self._refuse("timeout_unsent", self._choose_return_ms())
 
     def _check(self) -> None:
         """Answer if nothing better can come."""
@@ -438,10 +383,11 @@
 
     def _fail(self, outcome: str) -> None:
         if not any(leg.may_have_run or leg.running for leg in self._legs):
-            self._refuse(outcome, RETRY_AFTER_FULL_MS)
+            self._refuse(outcome, self._choose_return_ms())
             return
         leg = self._legs[0]
-        if self._route.gather is None and leg.last_reply is not None and leg.last_reply.stamp:
+        reply = leg.last_reply
+        if self._route.gather is None and reply is not None and _may_pass_on(reply):
             self._answer_reply(leg, "endpoint_error")
             return
         self._give_up(outcome, 502)
@@ -461,6 +407,19 @@
         answer = FinalAnswer(200, headers, body, outcome, len(parts), len(self._legs))
         self._finish(answer)
 
+    def _refuse_start(self) -> None:
+        """Refuse before anything was sent."""
+        usable = self._tier.endpoints.usable
+        present = sum(bool(usable(leg.service)) for leg in self._legs)
+        if self._suffices(present):
+            self._refuse("full", self._choose_return_ms())
+        else:
+            self._refuse("unavailable", RETRY_AFTER_UNAVAILABLE_MS)
+
+    def _choose_return_ms(self) -> float:
+        spread = RETRY_AFTER_SPREAD_PART * self._tier.rng.random()
+        return (RETRY_AFTER_LEAST_PART + spread) * self._route.objective_ms
+
     def _refuse(self, outcome: str, retry_after_ms: float) -> None:
         headers = self._tier.answers.format_refusal(retry_after_ms)
         body = b"not run: " + outcome.encode()
@@ -502,3 +461,11 @@
                 )
                 attempt.send.abandon()
             leg.running.clear()
+
+
+def _may_pass_on(reply: EndpointReply) -> bool:
+    """Return whether an endpoint's failure can be the final answer.
+
+    A status that promises that the request did not run would be untrue after a run.
+    """
+    return bool(reply.stamp) and reply.status >= 400 and reply.status not in NOT_RUN_STATUSES
--- /dev/null
+++ b/src/persimmonspur/core/fleet/legs.py
@@ -0,0 +1,40 @@
+"""The parts of one request that go to one service each, and their sends."""
+
+from attrs import define, field, frozen
+
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.messages import AttemptRecord, EndpointReply, Part, Send
+
+
+@frozen
+class Attempt:
+    """One send to one endpoint that has no result yet."""
+
+    number: int
+    endpoint: Endpoint
+    record: AttemptRecord
+    send: Send
+
+
+@define(eq=False)
+class Leg:
+    """The part of a request that goes to one service.
+
+    :param sent: sends that may have reached an endpoint.
+    :param tried: identities that this request was sent to.
+    """
+
+    service: str
+    sent: int = 0
+    tried: list[str] = field(factory=list)
+    running: dict[int, Attempt] = field(factory=dict)
+    part: Part | None = None
+    failed: bool = False
+    may_have_run: bool = False
+    last_reply: EndpointReply | None = None
+    reason: str = ""
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing more is expected."""
+        return self.failed or self.part is not None
--- a/src/persimmonspur/core/fleet/selection.py
+++ b/src/persimmonspur/core/fleet/selection.py
@@ -46,6 +46,7 @@
     sampled_ms: float = 0.0
     others_load: float = 0.0
     load_ms: float = 0.0
+    reports_load: bool = False
     error_rate: float = 0.0
     error_ms: float = 0.0
     failures: int = 0
@@ -53,12 +54,16 @@
 
 
 class ReplicaSelector:
-    """Estimates each replica's latency and picks the best."""
+    """Estimates each replica's latency and picks the best.
+
+    :ivar sharing: number of instances that send to the same endpoints.
+    """
 
     def __init__(self, failure_domain: str, rng: random.Random) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._states: dict[str, ReplicaState] = {}
+        self.sharing = 1
 
     def state(self, identity: str) -> ReplicaState:
         """Return the state of an endpoint, a new one if there is none."""
@@ -89,14 +94,12 @@
         if now_ms < state.blocked_until_ms:
             return math.inf
         factor = 1.0 + (state.factor - 1.0) * math.exp((state.sampled_ms - now_ms) / FORGET_MS)
-        load = float(len(state.outstanding))
+        load = self._estimate_load(state, now_ms)
         if state.outstanding:
             oldest_ms = next(iter(state.outstanding.values()))
             overdue = (now_ms - oldest_ms) / expected_ms
             if overdue > OVERDUE_RATIO * factor:
                 factor = max(factor, 2.0 * overdue)
-        if state.others_load > 0:
-            load += state.others_load * math.exp((state.load_ms - now_ms) / LOAD_FORGET_MS)
         slots = max(1, endpoint.slots)
         score = factor * (1.0 + 0.3 * load / slots + max(0.0, load + 1 - slots) / slots)
         score *= 1.0 + ERROR_PENALTY * _fade_error_rate(state, now_ms)
@@ -106,6 +109,27 @@
             score *= REMOTE_FACTOR
         return score * (1.0 + JITTER * self._rng.random())
 
+    def has_room(
+        self, endpoint: Endpoint, expected_ms: float, wait_ms: float, now_ms: float
+    ) -> bool:
+        """Return whether a request would get a slot soon enough.
+
+        Answers the load beyond what the endpoints can do: a request that waits behind
+        too many others is answered too late and delays those behind it.
+
+        :param expected_ms: typical latency of this kind of request.
+        :param wait_ms: longest time in a queue that leaves the answer in time.
+        """
+        slots = max(1, endpoint.slots)
+        limit = slots * (1.0 + wait_ms / expected_ms)
+        return self._estimate_load(self.state(endpoint.identity), now_ms) < limit
+
+    def _estimate_load(self, state: ReplicaState, now_ms: float) -> float:
+        own = float(len(state.outstanding))
+        if not state.reports_load:
+            return own * self.sharing
+        return own + state.others_load * math.exp((state.load_ms - now_ms) / LOAD_FORGET_MS)
+
     def note_sent(self, identity: str, attempt: int, now_ms: float) -> None:
         """Count a request as unanswered."""
         self.state(identity).outstanding[attempt] = now_ms
@@ -164,6 +188,7 @@
         state = self.state(identity)
         state.others_load = max(0.0, running + waiting - 1.0 - len(state.outstanding))
         state.load_ms = now_ms
+        state.reports_load = True
 
     def forget(self, identities: frozenset[str]) -> None:
         """Drop the state of endpoints that no longer exist.
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -11,12 +11,12 @@
 from persimmonspur.core.fleet.answers import AnswerFormat
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
 from persimmonspur.core.fleet.endpoints import Endpoint, EndpointDirectory
-from persimmonspur.core.fleet.exchange import Tier
 from persimmonspur.core.fleet.lag import LagDetector
 from persimmonspur.core.fleet.latency import RouteLatencies
 from persimmonspur.core.fleet.members import Member, Membership, choose_entry_set
 from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
 from persimmonspur.core.fleet.selection import ReplicaSelector
+from persimmonspur.core.fleet.tier import Tier
 from persimmonspur.entry import events
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
@@ -126,6 +126,7 @@
             codecs.answers,
             self.observer.note_decision,
             self.observer.metrics.count_send,
+            rng,
         )
         self.requests = RequestSurface(
             self.tier, self.routes, codecs.client, self.observer.note_finished
@@ -341,7 +342,9 @@
         self.sender.retain(identities)
         ready = self.membership.ready_members(now_ms)
         self.budget.instances = max(1, min(len(ready), 2 * ENTRY_SET_SIZE))
-        self.sender.sharing = max(1, min(len(ready), ENTRY_SET_SIZE + 1))
+        sharing = max(1, min(len(ready), ENTRY_SET_SIZE))
+        self.sender.sharing = sharing
+        self.selector.sharing = sharing
         self.cold.set_members(tuple(member.name for member in ready))
 
     def _take_configurations(self, snapshot: Snapshot[RouteTable], after_outage: bool) -> None:
--- a/src/persimmonspur/entry/surfaces.py
+++ b/src/persimmonspur/entry/surfaces.py
@@ -4,9 +4,10 @@
 from typing import Protocol
 from urllib.parse import parse_qs
 
-from persimmonspur.core.fleet.exchange import Exchange, Tier
+from persimmonspur.core.fleet.exchange import Exchange
 from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer, Headers
 from persimmonspur.core.fleet.routes import RouteTableHolder, WeightedRotation
+from persimmonspur.core.fleet.tier import Tier
 from persimmonspur.entry.metrics import CONTENT_TYPE
 from persimmonspur.entry.observer import FinishedRequest
 from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
--- a/tests/core/fleet/test_exchange.py
+++ b/tests/core/fleet/test_exchange.py
@@ -348,3 +348,27 @@
     sim.timers.advance(400)
     sim.start(route)
     assert len(sim.sender.sends) == 2
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_that_promises_no_run_is_not_passed_on_after_a_run(status):
+    # Guards against a client that repeats a request which has run.
+    sim = SimTier()
+    route = make_route(**POST)
+    sim.add_route_services(route)
+    _, answers = sim.start(route)
+    sim.sender.sends[0].reply(status, ran=Ran.YES)
+    assert answers[0].status == 502
+    assert len(sim.sender.sends) == 1
+
+
+def test_success_without_a_proof_is_no_answer():
+    # Guards against a part that no searcher vouches for.
+    sim = SimTier()
+    route = make_gather_route(shards=10, max_attempts=1)
+    sim.add_route_services(route)
+    _, answers = sim.start(route)
+    sim.sender.sends[0].reply(200, proof=False)
+    for send in sim.sender.sends[1:10]:
+        send.reply(200)
+    assert answers[0].covered == 9
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -5,12 +5,12 @@
 import random
 from collections import Counter
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from persimmonspur.clock import ManualClock
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
 from persimmonspur.core.fleet.endpoints import Endpoint, EndpointDirectory
-from persimmonspur.core.fleet.exchange import Exchange, Tier
+from persimmonspur.core.fleet.exchange import Exchange
 from persimmonspur.core.fleet.latency import RouteLatencies
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, SendFailure
 from persimmonspur.core.fleet.routes import (
@@ -23,6 +23,7 @@
     WeightedService,
 )
 from persimmonspur.core.fleet.selection import ReplicaSelector
+from persimmonspur.core.fleet.tier import Tier
 from persimmonspur.errors import Ran
 
 _numbers = itertools.count()
@@ -72,11 +73,15 @@
         self.abandoned = True
         self.ended = True
 
-    def reply(self, status=200, body=b"", ran=Ran.YES, **fields):
+    def reply(self, status=200, body=b"", ran=Ran.YES, proof=True, **fields):
         if self.ended:
             return
         self.ended = True
-        stamp = f"{self.endpoint.identity}.{self.request.request_id}" if ran is Ran.YES else ""
+        stamp = (
+            f"{self.endpoint.identity}.{self.request.request_id}"
+            if proof and ran is Ran.YES
+            else ""
+        )
         self.on_result(EndpointReply(status, [], body, stamp, ran, **fields))
 
     def fail(self, ran=Ran.UNKNOWN, reason="reset"):
@@ -99,11 +104,16 @@
     latency_ms: object = None
     full: set = field(factory=set)
     resets: object = None
+    models: dict = field(factory=dict)
 
     def send(self, endpoint, request, timeout_ms, on_result):
         if endpoint.identity in self.full:
             return None
         send = SimSend(endpoint, request, timeout_ms, on_result, self.clock.now_ms())
+        model = self.models.get(endpoint.identity)
+        if model is not None:
+            model.take(send)
+            return send
         self.sends.append(send)
         if self.latency_ms is not None:
             reset = self.resets is not None and self.resets(send)
@@ -176,9 +186,16 @@
             SimAnswers(),
             lambda name, **fields: self.decisions.append((name, fields)),
             self._count,
+            random.Random(seed),
         )
         self.services = {}
 
+    def share_time(self, other):
+        """Use the clock and timers of another simulated instance."""
+        self.clock, self.timers = other.clock, other.timers
+        self.sender.clock, self.sender.timers = other.clock, other.timers
+        self.tier = evolve(self.tier, clock=other.clock, timers=other.timers)
+
     def _count(self, name):
         self.counts[name] += 1
 
@@ -225,3 +242,111 @@
         exchange.answers = answers
         exchange.start()
         return exchange, answers
+
+
+class SearcherModel:
+    """An endpoint with slots and a bounded queue that sheds when full.
+
+    :param work_ms: returns the time that one request takes on a slot.
+    """
+
+    def __init__(self, clock, timers, slots, queue, work_ms):
+        self.clock = clock
+        self.timers = timers
+        self.slots = slots
+        self.queue_length = queue
+        self.work_ms = work_ms
+        self.running = 0
+        self.waiting = []
+        self.shed = 0
+
+    def take(self, send):
+        if self.running < self.slots:
+            self._run(send)
+        elif len(self.waiting) < self.queue_length:
+            self.waiting.append(send)
+        else:
+            self.shed += 1
+            self.timers.call_later(1.0, lambda: send.reply(503, ran=Ran.NO, load=self.load))
+
+    @property
+    def load(self):
+        return self.running, len(self.waiting)
+
+    def _run(self, send):
+        self.running += 1
+        self.timers.call_later(self.work_ms(), lambda: self._finish(send))
+
+    def _finish(self, send):
+        self.running -= 1
+        while self.waiting and self.running < self.slots:
+            following = self.waiting.pop(0)
+            if not following.abandoned:
+                self._run(following)
+        send.reply(200, b"", load=self.load)
+
+
+class LoadPlay:
+    """Clients that call several instances over shared endpoint models and retry once.
+
+    :ivar results: one tuple per caller: time of the call and, if served, its latency.
+    """
+
+    def __init__(self, route, instances=3, replicas=3, slots=3, queue=24, work_ms=None, seed=1):
+        self.rng = random.Random(seed)
+        self.route = route
+        work_ms = work_ms or (lambda: self.rng.lognormvariate(2.6, 0.35))
+        self.sims = [SimTier(seed=seed + index) for index in range(instances)]
+        first = self.sims[0]
+        self.clock, self.timers = first.clock, first.timers
+        self.models = {}
+        for sim in self.sims:
+            sim.share_time(first)
+            sim.add_route_services(route, replicas)
+            sim.selector.sharing = instances
+            sim.sender.models = self.models
+        for service in first.services_of(route):
+            for index in range(replicas):
+                self.models[f"{service}-{index}"] = SearcherModel(
+                    self.clock, self.timers, slots, queue, work_ms
+                )
+        self.results = []
+
+    def call(self):
+        self._attempt(self.clock.now_ms(), retries=1)
+
+    def _attempt(self, called_ms, retries):
+        sim = self.rng.choice(self.sims)
+        exchange, answers = sim.start(self.route)
+        self._follow(exchange, answers, called_ms, retries)
+
+    def _follow(self, exchange, answers, called_ms, retries):
+        if not answers:
+            self.timers.call_later(1.0, lambda: self._follow(exchange, answers, called_ms, retries))
+            return
+        answer = answers[0]
+        if answer.status == 200:
+            share = (answer.covered / answer.total) ** 2
+            self.results.append((called_ms, self.clock.now_ms() - called_ms, share))
+        elif retries:
+            fields = dict(answer.headers)
+            wait_ms = float(fields.get(b"Retry-After", b"0"))
+            self.timers.call_later(wait_ms, lambda: self._attempt(called_ms, retries - 1))
+        else:
+            self.results.append((called_ms, None, 0.0))
+
+    def play(self, per_s, duration_ms):
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.call()
+            self.timers.advance(self.rng.expovariate(per_s / 1000))
+
+    def benefit(self, since_ms=0.0):
+        earned = owed = 0.0
+        for called_ms, latency_ms, share in self.results:
+            if called_ms < since_ms:
+                continue
+            owed += 1
+            if latency_ms is not None:
+                earned += share if latency_ms <= self.route.objective_ms else 0.1 * share
+        return earned / owed
