Recover sooner after a start in a store outage; accept before the listener closes

The first list now waits 400 ms, later ones up to 1,600 ms for a slow store.

A listener that closes accepts waiting connections first, so that they are not reset (test fails without it). Objects of the start are left out of garbage collection.

--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -17,6 +17,10 @@
 # After a failed call the next ones wait for this time only: a store that went silent
 # never answers the calls of that time.
 PROBE_MS = 1_000.0
+# The first list without any state waits only this long, since a store that went silent
+# and came back answers the next call; later ones wait longer for a slow store.
+LIST_FIRST_MS = 400.0
+LIST_MAX_MS = 1_600.0
 BACKOFF_FIRST_MS = 150.0
 BACKOFF_MAX_MS = 1_500.0
 # Removals within this time after an outage may be entries that lapsed meanwhile.
@@ -53,8 +57,11 @@
 class Source(Protocol[T]):
     """Lists and watches one kind of object."""
 
-    def list(self) -> Result[Snapshot[T], Failure]:
-        """Return all objects."""
+    def list(self, timeout_ms: float) -> Result[Snapshot[T], Failure]:
+        """Return all objects.
+
+        :param timeout_ms: longest wait for one call.
+        """
 
     def watch(self, revision: int, wait_ms: float) -> Result[Updates[T], Failure]:
         """Wait for changes; ``CONFLICT`` means that the history is gone."""
@@ -98,6 +105,7 @@
         self._backoff_ms = 0.0
         self._recovered_ms = -RECOVERY_MS
         self._suspect = False
+        self._list_ms = LIST_FIRST_MS
         self.revision = 0
         self.newest = 0
         self.reached_ms = 0.0
@@ -131,8 +139,9 @@
                 self._list_once()
 
     def _list_once(self) -> None:
-        listed = self._source.list()
+        listed = self._source.list(self._list_ms)
         if listed.is_error():
+            self._list_ms = min(LIST_MAX_MS, 2 * self._list_ms)
             self._back_off(listed.error)
             return
         self._note_reached()
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -19,7 +19,7 @@
 from persimmonspur.core.fleet.tier import Tier
 from persimmonspur.entry import events
 from persimmonspur.entry.calls import HttpCaller
-from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
+from persimmonspur.entry.feeds import LIST_MAX_MS, Feed, Snapshot, Source, Updates
 from persimmonspur.entry.heartbeats import Heartbeat, Heartbeats
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerState, PeerStateSurface, fetch_state
@@ -249,7 +249,7 @@
     def _list_members(self) -> None:
         delay_ms = 200.0
         while not self.leaving:
-            listed = self._sources.members.list()
+            listed = self._sources.members.list(LIST_MAX_MS)
             if listed.is_ok():
                 now_ms = self.clock.now_ms()
                 for member in listed.ok.items.values():
--- a/src/persimmonspur/entry/run.py
+++ b/src/persimmonspur/entry/run.py
@@ -1,5 +1,6 @@
 """Runs one entry instance until SIGTERM."""
 
+import gc
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -49,6 +50,10 @@
     others = [instance.serve(surface.address, surface.handler) for surface in surfaces]
     reloader = loop.timer(RELOAD_MS / 1000, RELOAD_MS / 1000)
     reloader.start(on_reload)
+    # Objects of the start live as long as the process; collecting them again and again
+    # would stop all requests for some milliseconds each time.
+    gc.collect()
+    gc.freeze()
     instance.start()
     instance.log.record(
         events.ENTRY_STARTED,
@@ -76,6 +81,8 @@
     clients.closing = True
     gevent.sleep(min(UNNAMED_MS, instance.identity.shutdown_ms / 2) / 1000)
     clients.stop_accepting()
+    # Requests that arrived on connections that were just accepted are read first.
+    gevent.sleep(POLL_MS / 1000)
     while clients.close_idle() and instance.clock.now_ms() < deadline_ms:
         gevent.sleep(POLL_MS / 1000)
     for server in others:
--- a/src/persimmonspur/entry/server.py
+++ b/src/persimmonspur/entry/server.py
@@ -106,7 +106,9 @@
     @property
     def idle(self) -> bool:
         """Whether no request is being read, handled or answered."""
-        return not (self._running or self._queue or self._head_bytes or self._stream.unsent)
+        if self._running or self._queue or self._head_bytes or self._stream.unsent:
+            return False
+        return not self._stream.has_unread()
 
     def sweep(self, now_ms: float, limits: ClientLimits) -> None:
         """Close the connection if its client is too slow."""
@@ -291,9 +293,10 @@
         self._writing.add(connection)
 
     def stop_accepting(self) -> None:
-        """Close the listening socket."""
+        """Close the listening socket; connections that wait in it are accepted first."""
         if self._sock is None:
             return
+        self._accept()
         self._acceptor.stop()
         self._acceptor.close()
         self._sock.close()
--- a/src/persimmonspur/platform/sources.py
+++ b/src/persimmonspur/platform/sources.py
@@ -44,9 +44,9 @@
         self._kind = kind
         self._read = read
 
-    def list(self) -> Result[Snapshot[T], Failure]:
+    def list(self, timeout_ms: float) -> Result[Snapshot[T], Failure]:
         """Return all objects of the kind."""
-        return self._store.list(self._kind).map(self._read_listing)
+        return self._store.list(self._kind, timeout_ms).map(self._read_listing)
 
     def watch(self, revision: int, wait_ms: float) -> Result[Updates[T], Failure]:
         """Wait for changes of the kind."""
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -78,14 +78,17 @@
     def __init__(self, caller: HttpCaller) -> None:
         self._caller = caller
 
-    def list(self, kind: str) -> Result[Listing, Failure]:
-        """Return all objects of a kind; follows pages."""
+    def list(self, kind: str, timeout_ms: float = CALL_TIMEOUT_MS) -> Result[Listing, Failure]:
+        """Return all objects of a kind; follows pages.
+
+        :param timeout_ms: longest wait for one page.
+        """
         objects: list[StoreObject] = []
         unreadable = 0
         after = ""
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
-            called = self._call("GET", f"/-/objects/{kind}{query}", b"", CALL_TIMEOUT_MS)
+            called = self._call("GET", f"/-/objects/{kind}{query}", b"", timeout_ms)
             if called.is_error():
                 return Error(called.error)
             page = _decode(called.ok, _List)
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -17,14 +17,16 @@
         self.results = list(results)
         self.calls = []
         self.waits = []
+        self.timeouts = []
 
     def _next(self):
         if not self.results:
             gevent.sleep(60)
         return self.results.pop(0)
 
-    def list(self):
+    def list(self, timeout_ms):
         self.calls.append("list")
+        self.timeouts.append(timeout_ms)
         return self._next()
 
     def watch(self, revision, wait_ms):
@@ -114,3 +116,12 @@
     gevent.sleep(0.01)
     assert source.calls == ["list", 10, 10]
     assert source.waits[1] <= feeds.PROBE_MS
+
+
+def test_first_list_gives_up_soon_and_later_ones_wait_for_a_slow_store(follow):
+    # Guards against a start that waits out a long timeout on a call that was sent while
+    # the store was silent, although the store is back.
+    source, _, _ = follow(fail(), fail(), fail(), Ok(Snapshot({}, 10)))
+    assert source.timeouts[0] <= 400
+    assert source.timeouts == sorted(source.timeouts)
+    assert source.timeouts[-1] >= 1_500
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -173,6 +173,16 @@
     assert b"Connection: close" in read_all(sock)
 
 
+def test_request_that_waits_in_the_listening_socket_is_answered(server):
+    # Guards against a shutdown that resets connections which it has not accepted yet.
+    sock = connect(server)
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    server.closing = True
+    server.stop_accepting()
+    server.close_idle()
+    assert b"200 OK" in read_all(sock)
+
+
 def test_head_answer_has_no_body(server):
     answer = exchange(server, b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
     assert answer.endswith(b"\r\n\r\n")
