Split what the store says from the instance; hold the last endpoints of a service

A watch that waits through an outage reports lapsed entries like any other removal. A service does not lose its last endpoints for that: they stay for 2 s, in which live entries are back. Guarded by tests that fail without it. The instance module keeps the wiring, entry/state.py what the store says.

--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -5,7 +5,7 @@
 from attrs import evolve, frozen
 
 # After an outage of the store, entries of live endpoints are back within two seconds.
-RETURN_MS = 2_200.0
+RETURN_MS = 2_000.0
 
 
 @frozen
@@ -99,16 +99,35 @@
         self._missing_since.pop(endpoint.identity, None)
         self._index()
 
-    def remove(self, identity: str, after_outage: bool, now_ms: float) -> None:
-        """Remove an endpoint, after :data:`RETURN_MS` if the store has just come back."""
-        if identity not in self._known:
-            return
-        if after_outage:
-            self._missing_since.setdefault(identity, now_ms)
-            return
-        del self._known[identity]
-        self._missing_since.pop(identity, None)
+    def remove(
+        self, identities: Iterable[str], after_outage: bool, now_ms: float
+    ) -> frozenset[str]:
+        """Remove endpoints whose entries are gone.
+
+        Entries lapse while the store is away, and come back when it returns. After an
+        outage, and when a service would lose its last endpoint, the endpoints stay in
+        use for :data:`RETURN_MS`.
+
+        :param after_outage: whether an outage of the store was noticed.
+        :returns: the endpoints that stay for now.
+        """
+        gone = {identity for identity in identities if identity in self._known}
+        left = {
+            endpoint.service
+            for endpoint in self._known.values()
+            if endpoint.identity not in gone and not endpoint.draining
+        }
+        held = set()
+        for identity in gone:
+            endpoint = self._known[identity]
+            if after_outage or (endpoint.service not in left and not endpoint.draining):
+                self._missing_since.setdefault(identity, now_ms)
+                held.add(identity)
+                continue
+            del self._known[identity]
+            self._missing_since.pop(identity, None)
         self._index()
+        return frozenset(held)
 
     def expire(self, now_ms: float) -> list[str]:
         """Remove endpoints whose entries did not come back.
--- /dev/null
+++ b/src/persimmonspur/entry/state.py
@@ -0,0 +1,285 @@
+"""What an instance knows from the store, and how it keeps that up to date."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import gevent
+from attrs import frozen
+from expression import Result
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.endpoints import RETURN_MS, Endpoint, EndpointDirectory
+from persimmonspur.core.fleet.lag import LagDetector
+from persimmonspur.core.fleet.members import Member
+from persimmonspur.core.fleet.messages import Timers
+from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
+from persimmonspur.entry import events
+from persimmonspur.entry.calls import HttpCaller
+from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
+from persimmonspur.entry.observer import Observer
+from persimmonspur.entry.peerstate import PeerState, fetch_state
+from persimmonspur.errors import Failure
+
+# Changes of endpoints come in bursts; the rest between two watches.
+ENDPOINT_PAUSE_MS = 250.0
+
+
+class Registry(Protocol):
+    """Where instances register themselves."""
+
+    def register(self, member: Member) -> Result[None, Failure]:
+        """Write this instance's registration."""
+
+    def unregister(self, name: str) -> Result[None, Failure]:
+        """Remove a registration."""
+
+
+@frozen
+class Sources:
+    """What the store holds for this instance."""
+
+    configuration: Source[RouteTable]
+    endpoints: Source[Endpoint]
+    evacuations: Source[str]
+    members: Source[Member]
+    registry: Registry
+
+
+class StoreState:
+    """Configuration, endpoints and evacuations, from the store or else from a peer."""
+
+    def __init__(
+        self,
+        sources: Sources,
+        observer: Observer,
+        clock: Clock,
+        timers: Timers,
+        rng: random.Random,
+        on_table: Callable[[RouteTable], None],
+    ) -> None:
+        """Know nothing yet.
+
+        :param on_table: told of each new route table.
+        """
+        self._observer = observer
+        self._clock = clock
+        self._timers = timers
+        self._on_table = on_table
+        self.routes = RouteTableHolder()
+        self.endpoints = EndpointDirectory()
+        self._configuration_lag = LagDetector()
+        self._endpoint_lag = LagDetector()
+        self.configuration_feed: Feed[RouteTable] = Feed(
+            "configuration",
+            sources.configuration,
+            self._take_configurations,
+            self._take_configuration_updates,
+            observer.note_store_call,
+            clock,
+            rng,
+        )
+        self.endpoint_feed: Feed[Endpoint] = Feed(
+            "endpoints",
+            sources.endpoints,
+            self._take_endpoints,
+            self._take_endpoint_updates,
+            observer.note_store_call,
+            clock,
+            rng,
+            ENDPOINT_PAUSE_MS,
+        )
+        self._evacuated: set[str] = set()
+        self.evacuation_feed: Feed[str] = Feed(
+            "evacuations",
+            sources.evacuations,
+            self._take_evacuations,
+            self._take_evacuation_updates,
+            observer.note_store_call,
+            clock,
+            rng,
+        )
+        self.feeds: tuple[Feed[Any], ...] = (
+            self.configuration_feed,
+            self.endpoint_feed,
+            self.evacuation_feed,
+        )
+
+    @property
+    def complete(self) -> bool:
+        """Whether a configuration and the endpoints are known."""
+        return self.routes.table is not None and self.endpoints.known_once
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in effect; 0 without one."""
+        return self.routes.table.version if self.routes.table is not None else 0
+
+    def start(self) -> None:
+        """Start to follow the store."""
+        for feed in self.feeds:
+            feed.start()
+
+    def stop(self) -> None:
+        """Stop; idempotent."""
+        for feed in self.feeds:
+            feed.stop()
+
+    def get_client_limits(self) -> ClientLimits:
+        """Return what clients may send."""
+        table = self.routes.table
+        return table.limits if table is not None else ClientLimits()
+
+    def compare(self, peer: Member, version: int, newest: int) -> None:
+        """Take what a peer announces and catch up if this instance lags behind.
+
+        :param version: of the peer's configuration.
+        :param newest: revision of the latest endpoint change that the peer knows.
+        """
+        now_ms = self._clock.now_ms()
+        if self._configuration_lag.note(version, self.version, now_ms):
+            self._renew(self.configuration_feed, self.version, version, peer)
+        own = self.endpoint_feed.newest
+        if self._endpoint_lag.note(newest, own, now_ms):
+            self._renew(self.endpoint_feed, own, newest, peer)
+
+    def _take_configurations(self, snapshot: Snapshot[RouteTable], after_outage: bool) -> None:
+        for failure in snapshot.rejected:
+            self._observer.log.record(
+                events.ENTRY_REJECTED, kind="configuration", reason=failure.message
+            )
+        for table in snapshot.items.values():
+            self._take_table(table)
+
+    def _take_configuration_updates(self, updates: Updates[RouteTable], after_outage: bool) -> None:
+        for failure in updates.rejected:
+            self._observer.log.record(
+                events.ENTRY_REJECTED, kind="configuration", reason=failure.message
+            )
+        for _, table in updates.changes:
+            if table is not None:
+                self._take_table(table)
+
+    def _take_table(self, table: RouteTable) -> None:
+        if not self.routes.offer(table):
+            return
+        self._on_table(table)
+        self._observer.log.record(
+            events.CONFIGURATION_IN_EFFECT,
+            version=table.version,
+            routes=len(table.routes),
+            services=len(table.services),
+        )
+
+    def _take_endpoints(self, snapshot: Snapshot[Endpoint], after_outage: bool) -> None:
+        for failure in snapshot.rejected:
+            self._observer.log.record(
+                events.ENTRY_REJECTED, kind="endpoint", reason=failure.message
+            )
+        self.endpoints.replace_all(snapshot.items.values(), after_outage, self._clock.now_ms())
+        self._observer.log.record(
+            events.ENDPOINTS_LISTED,
+            endpoints=len(snapshot.items),
+            revision=snapshot.revision,
+            after_outage=after_outage,
+        )
+        if after_outage:
+            self._timers.call_later(RETURN_MS + 1, self._expire_endpoints)
+
+    def _take_endpoint_updates(self, updates: Updates[Endpoint], after_outage: bool) -> None:
+        for failure in updates.rejected:
+            self._observer.log.record(
+                events.ENTRY_REJECTED, kind="endpoint", reason=failure.message
+            )
+        removed = [identity for identity, endpoint in updates.changes if endpoint is None]
+        for identity, endpoint in updates.changes:
+            if endpoint is None:
+                continue
+            known = self.endpoints.get(identity)
+            self.endpoints.put(endpoint)
+            if known is None or known.draining != endpoint.draining:
+                self._observer.log.record(
+                    events.ENDPOINT_CHANGED,
+                    endpoint=identity,
+                    service=endpoint.service,
+                    address=endpoint.address,
+                    draining=endpoint.draining,
+                    revision=updates.revision,
+                )
+        self._remove_endpoints(removed, after_outage)
+
+    def _remove_endpoints(self, identities: list[str], after_outage: bool) -> None:
+        held = self.endpoints.remove(identities, after_outage, self._clock.now_ms())
+        for identity in identities:
+            reason = "entry removed, held" if identity in held else "entry removed"
+            self._observer.log.record(events.ENDPOINT_REMOVED, endpoint=identity, reason=reason)
+        if held:
+            self._timers.call_later(RETURN_MS + 1, self._expire_endpoints)
+
+    def _expire_endpoints(self) -> None:
+        for identity in self.endpoints.expire(self._clock.now_ms()):
+            self._observer.log.record(
+                events.ENDPOINT_REMOVED, endpoint=identity, reason="did not come back"
+            )
+
+    def _take_evacuations(self, snapshot: Snapshot[str], after_outage: bool) -> None:
+        self._evacuated = set(snapshot.items)
+        self._apply_evacuations()
+
+    def _take_evacuation_updates(self, updates: Updates[str], after_outage: bool) -> None:
+        for name, present in updates.changes:
+            if present is None:
+                self._evacuated.discard(name)
+            else:
+                self._evacuated.add(name)
+        self._apply_evacuations()
+
+    def _apply_evacuations(self) -> None:
+        self.endpoints.evacuate(frozenset(self._evacuated))
+        if self._evacuated:
+            self._observer.log.record(events.EVACUATED, failure_domains=sorted(self._evacuated))
+
+    def _renew(self, feed: Feed[Any], own: int, newer: int, peer: Member) -> None:
+        self._observer.log.record(
+            events.WATCH_STUCK, feed=feed.name, own=own, newer=newer, peer=peer.name
+        )
+        if feed.failing:
+            # The store does not answer this instance; a peer can.
+            gevent.spawn(self._take_peer_state, peer)
+        else:
+            feed.restart()
+
+    def _take_peer_state(self, peer: Member) -> None:
+        fetched = fetch_state(HttpCaller(peer.peer_address, self._clock, self._timers))
+        if fetched.is_error():
+            self._observer.log.record(
+                events.PEER_STATE_FAILED, peer=peer.name, reason=fetched.error.message
+            )
+            return
+        state = fetched.ok
+        now_ms = self._clock.now_ms()
+        table = state.build_table()
+        if table is not None:
+            self._take_table(table)
+        if state.newest > self.endpoint_feed.newest:
+            self.endpoints.replace_all(state.build_endpoints(now_ms), False, now_ms)
+            self.endpoint_feed.newest = state.newest
+            self._evacuated = set(state.evacuated)
+            self._apply_evacuations()
+        self._observer.log.record(
+            events.PEER_STATE_TAKEN, peer=peer.name, version=state.version, newest=state.newest
+        )
+
+    def describe_state(self) -> PeerState:
+        """Return what this instance knows from the store, for a peer."""
+        table = self.routes.table
+        return PeerState(
+            table.version if table is not None else 0,
+            list(table.routes) if table is not None else [],
+            table.services if table is not None else {},
+            self.get_client_limits(),
+            self.endpoints.list_all(),
+            self.endpoint_feed.newest,
+            sorted(self.endpoints.evacuated),
+            self._clock.now_ms(),
+        )
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -14,12 +14,13 @@
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, Headers
 from persimmonspur.entry import events as entry_events
 from persimmonspur.entry.calls import HttpCaller
-from persimmonspur.entry.instance import Codecs, EntryInstance, Identity, Sources
+from persimmonspur.entry.instance import Codecs, EntryInstance, Identity
 from persimmonspur.entry.metrics import format_metrics
 from persimmonspur.entry.records import EventLog, open_log
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.entry.run import Surface, run_entry
 from persimmonspur.entry.server import HttpRequest
+from persimmonspur.entry.state import Sources
 from persimmonspur.entry.surfaces import MetricsSurface, ReadySurface, ResolveSurface
 from persimmonspur.entry.timers import LoopTimers
 from persimmonspur.errors import ANSWERS, ErrorKind, Failure
--- a/tests/core/fleet/test_endpoints.py
+++ b/tests/core/fleet/test_endpoints.py
@@ -40,7 +40,7 @@
 def test_entry_that_comes_back_stays():
     directory = EndpointDirectory()
     directory.put(make_endpoint())
-    directory.remove("e1", after_outage=True, now_ms=0.0)
+    directory.remove(["e1"], after_outage=True, now_ms=0.0)
     directory.put(make_endpoint())
     assert directory.expire(60_000.0) == []
     assert len(directory.usable("s")) == 1
@@ -49,9 +49,28 @@
 def test_entry_removed_without_an_outage_is_gone_at_once():
     # Guards against requests to endpoints that never announce their shutdown.
     directory = EndpointDirectory()
-    directory.put(make_endpoint())
-    directory.remove("e1", after_outage=False, now_ms=0.0)
-    assert directory.usable("s") == ()
+    directory.put(make_endpoint("e1"))
+    directory.put(make_endpoint("e2"))
+    assert directory.remove(["e1"], after_outage=False, now_ms=0.0) == frozenset()
+    assert [endpoint.identity for endpoint in directory.usable("s")] == ["e2"]
+
+
+def test_last_endpoints_of_a_service_stay_until_they_could_be_back():
+    # Guards against a watch that waited through an outage and then reports that all
+    # entries lapsed.
+    directory = EndpointDirectory()
+    directory.put(make_endpoint("e1"))
+    directory.put(make_endpoint("e2"))
+    assert directory.remove(["e1", "e2"], after_outage=False, now_ms=0.0) == {"e1", "e2"}
+    assert len(directory.usable("s")) == 2
+    assert sorted(directory.expire(RETURN_MS)) == ["e1", "e2"]
+
+
+def test_draining_endpoint_is_gone_with_its_entry():
+    directory = EndpointDirectory()
+    directory.put(make_endpoint(draining=True))
+    directory.remove(["e1"], after_outage=False, now_ms=0.0)
+    assert directory.get("e1") is None
 
 
 def test_identity_that_moves_to_another_service_leaves_the_first():
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -234,7 +234,7 @@
     deployment.store.down = False
     gevent.sleep(1.0)
     assert deployment.ask("/one/x")[0] == 200
-    assert deployment.instance.endpoints.get("i-1") is not None
+    assert deployment.instance.state.endpoints.get("i-1") is not None
 
 
 def test_forged_entries_are_skipped(deployment):
@@ -346,9 +346,9 @@
     first.add_searcher("i-1", "s1")
     first.configure(make_route(), version=5)
     first.start()
-    state = first.instance.describe_state()
+    state = first.instance.state.describe_state()
     assert state.build_table().version == 5
     assert [endpoint.identity for endpoint in state.build_endpoints(0.0)] == ["i-1"]
-    first.instance.endpoint_feed.newest += 1
-    first.instance._take_peer_state(first.instance.identity.member)
-    assert first.instance.routes.table.version == 5
+    first.instance.state.endpoint_feed.newest += 1
+    first.instance.state._take_peer_state(first.instance.identity.member)
+    assert first.instance.state.routes.table.version == 5
