--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -294,6 +294,8 @@
 
     def _recover(self, leg: Leg, arrived: bool) -> None:
         if leg.running:
+            if self._route.repeatable and leg.sent < self._route.max_attempts:
+                self._hedge_leg(leg, self._tier.clock.now_ms())
             return
         if leg.may_have_run and not self._route.repeatable:
             self._fail_leg(leg, leg.reason)
--- a/tests/core/fleet/test_exchange.py
+++ b/tests/core/fleet/test_exchange.py
@@ -144,6 +144,19 @@
     assert len(answers) == 1
 
 
+def test_hedge_that_cannot_connect_is_sent_elsewhere_at_once():
+    # Guards against a straggler without a second chance because its hedge met an
+    # endpoint that had just crashed.
+    sim = SimTier()
+    route = make_route()
+    sim.add_route_services(route)
+    sim.start(route)
+    sim.timers.advance(60)
+    sim.sender.sends[1].fail(Ran.NO, "refused")
+    assert len(sim.sender.sends) == 3
+    assert len({send.endpoint.identity for send in sim.sender.sends}) == 3
+
+
 def test_gather_answers_when_all_shards_are_in():
     sim = SimTier()
     route = make_gather_route(shards=3, top_records=2)
