Hear the instances of the entry set every 300 ms, the others every second

An instance that callers are sent to is noticed as silent after 1.2 s instead of 2 s; the heartbeat says when the next one follows.

--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -9,13 +9,19 @@
 from persimmonspur.core.fleet.answers import AnswerFormat
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
 from persimmonspur.core.fleet.latency import RouteLatencies
-from persimmonspur.core.fleet.members import Member, Membership, choose_entry_set
+from persimmonspur.core.fleet.members import (
+    ACTIVE_HEARTBEAT_MS,
+    IDLE_HEARTBEAT_MS,
+    Member,
+    Membership,
+    choose_entry_set,
+)
 from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.core.fleet.tier import Tier
 from persimmonspur.entry import events
 from persimmonspur.entry.feeds import LIST_MAX_MS
-from persimmonspur.entry.heartbeats import Heartbeat, Heartbeats
+from persimmonspur.entry.heartbeats import Heartbeat, Heartbeats, OwnState
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerStateSurface
 from persimmonspur.entry.records import EventLog
@@ -198,12 +204,18 @@
     def _forget_removed_routes(self, table: RouteTable) -> None:
         self.latencies.retain(frozenset(route.name for route in table.routes))
 
-    def _describe(self) -> tuple[bool, int, int]:
-        return self.ready, self.state.version, self.state.endpoint_feed.newest
+    def _describe(self) -> OwnState:
+        active = self.identity.member.caller_address in self.choose_addresses()
+        return OwnState(
+            self.ready,
+            self.state.version,
+            self.state.endpoint_feed.newest,
+            ACTIVE_HEARTBEAT_MS if active else IDLE_HEARTBEAT_MS,
+        )
 
     def _take_heartbeat(self, member: Member, heartbeat: Heartbeat) -> None:
         now_ms = self.clock.now_ms()
-        if self.membership.hear(member, heartbeat.ready, now_ms):
+        if self.membership.hear(member, heartbeat.ready, now_ms, heartbeat.interval_ms):
             self.log.record(
                 events.MEMBER_CHANGED,
                 member=member.name,
--- a/tests/core/fleet/test_exchange_machine.py
+++ b/tests/core/fleet/test_exchange_machine.py
@@ -1,10 +1,10 @@
 """Requests of the direct path under any order of answers, failures, timers and departures."""
 
-from fleetsim import SimTier, make_gather_route, make_route
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from fleetsim import SimTier, make_gather_route, make_route
 from persimmonspur.core.fleet.routes import RequestKind
 from persimmonspur.errors import Ran
 
