Rest after a burst of changes before the next watch

Endpoints rest 500 ms instead of 250 ms, configurations 200 ms, short against their bounds of 3,000 ms.

--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -21,8 +21,10 @@
 from persimmonspur.entry.peerstate import PeerState, fetch_state
 from persimmonspur.errors import Failure
 
-# Changes of endpoints come in bursts; the rest between two watches.
-ENDPOINT_PAUSE_MS = 250.0
+# Changes come in bursts, and each watch is one priced call at every instance. These rests
+# after a change are short against the bounds on drains and configurations.
+ENDPOINT_PAUSE_MS = 500.0
+CONFIGURATION_PAUSE_MS = 200.0
 
 
 class Registry(Protocol):
@@ -78,6 +80,7 @@
             observer.note_store_call,
             clock,
             rng,
+            CONFIGURATION_PAUSE_MS,
         )
         self.endpoint_feed: Feed[Endpoint] = Feed(
             "endpoints",
