List the registered instances again now and then; drop what nothing uses

Heartbeats went on to instances that were replaced for good, and a registration that was missed stayed unknown until a restart. The list is read every 120 s; silent instances that are no longer registered are dropped (test fails without it). The platform's word for a failure domain leaves the entry package; two unused methods go.

--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -145,14 +145,6 @@
             self._index()
         return expired
 
-    def mark_draining(self, identity: str) -> None:
-        """Note that an endpoint itself said that it is leaving."""
-        endpoint = self._known.get(identity)
-        if endpoint is None or endpoint.draining:
-            return
-        self._known[identity] = evolve(endpoint, draining=True)
-        self._index()
-
     def evacuate(self, failure_domains: frozenset[str]) -> None:
         """Set the failure domains whose endpoints get no requests."""
         self._evacuated = failure_domains
--- a/src/persimmonspur/core/fleet/members.py
+++ b/src/persimmonspur/core/fleet/members.py
@@ -68,9 +68,14 @@
             return
         self._states[member.name] = MemberState(member, now_ms)
 
-    def unregister(self, name: str) -> None:
-        """Remove an instance that left for good."""
-        self._states.pop(name, None)
+    def retain(self, names: frozenset[str], now_ms: float) -> None:
+        """Drop silent instances that are no longer registered.
+
+        :param names: the registered instances.
+        """
+        for name, state in list(self._states.items()):
+            if name not in names and state.is_silent(now_ms):
+                del self._states[name]
 
     def hear(
         self, member: Member, ready: bool, now_ms: float, interval_ms: float = IDLE_HEARTBEAT_MS
@@ -106,10 +111,6 @@
                 members.append(state.member)
         return members
 
-    def count_registered(self) -> int:
-        """Return the number of registered instances, this one included."""
-        return 1 + len(self._states)
-
 
 def choose_entry_set(members: Iterable[Member], size: int) -> list[Member]:
     """Choose the instances that callers are sent to.
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -43,9 +43,8 @@
     """A complete response of an endpoint to this attempt.
 
     :param stamp: the endpoint's proof that it ran the request; empty if it gave none.
-    :param ran: whether the response says that the request did not run.
+    :param ran: ``NO`` if the response says that the request did not run.
     :param wrong_instance: whether another endpoint has the address now.
-    :param draining: whether the endpoint says that it is leaving.
     :param load: running and waiting requests, if it says so.
     """
 
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -35,6 +35,9 @@
 ENTRY_SET_SIZE = 4
 MAINTENANCE_MS = 500.0
 DEFAULT_CONNECTIONS = 64
+REGISTER_RETRY_MS = 200.0
+REGISTER_RETRY_MAX_MS = 2_000.0
+LIST_MEMBERS_MS = 120_000.0
 # A maintenance that is this late shows that the process stood still.
 STALL_MS = 300.0
 
@@ -178,28 +181,38 @@
 
     def _register(self) -> None:
         registered = self._sources.registry.register(self.identity.member)
-        delay_ms = 200.0
+        delay_ms = REGISTER_RETRY_MS
         while registered.is_error() and not self.leaving:
             self.observer.note_store_call("registration", registered.error)
             gevent.sleep(delay_ms / 1000)
-            delay_ms = min(2_000.0, delay_ms * 2)
+            delay_ms = min(REGISTER_RETRY_MAX_MS, delay_ms * 2)
             registered = self._sources.registry.register(self.identity.member)
         self._list_members()
 
     def _list_members(self) -> None:
-        delay_ms = 200.0
+        """Learn who is registered, now and then again.
+
+        Heartbeats carry the news of a start; the list covers those that were lost and
+        drops instances that are gone for good.
+        """
+        delay_ms = REGISTER_RETRY_MS
         while not self.leaving:
             listed = self._sources.members.list(LIST_MAX_MS)
+            self.observer.note_store_call("members", listed.error if listed.is_error() else None)
             if listed.is_ok():
-                now_ms = self.clock.now_ms()
-                for member in listed.ok.items.values():
-                    self.membership.register(member, now_ms)
-                if self.heartbeats is not None:
-                    self.heartbeats.send()
-                return
-            self.observer.note_store_call("members", listed.error)
+                self._take_members(listed.ok.items)
+                delay_ms = LIST_MEMBERS_MS
+            else:
+                delay_ms = min(REGISTER_RETRY_MAX_MS, delay_ms * 2)
             gevent.sleep(delay_ms / 1000)
-            delay_ms = min(2_000.0, delay_ms * 2)
+
+    def _take_members(self, members: dict[str, Member]) -> None:
+        now_ms = self.clock.now_ms()
+        for member in members.values():
+            self.membership.register(member, now_ms)
+        self.membership.retain(frozenset(members), now_ms)
+        if self.heartbeats is not None:
+            self.heartbeats.send()
 
     def _forget_removed_routes(self, table: RouteTable) -> None:
         self.latencies.retain(frozenset(route.name for route in table.routes))
--- a/src/persimmonspur/entry/surfaces.py
+++ b/src/persimmonspur/entry/surfaces.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from typing import Protocol
-from urllib.parse import parse_qs
 
 from persimmonspur.core.fleet.exchange import Exchange
 from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer, Headers
@@ -127,29 +126,21 @@
 class ResolveSurface:
     """Tells clients which instances to use."""
 
-    def __init__(
-        self,
-        path: str,
-        resolve: Callable[[str, str], bytes],
-    ) -> None:
+    def __init__(self, path: str, format_addresses: Callable[[], bytes]) -> None:
         """Serve one path.
 
-        :param resolve: returns the answer's JSON for a client's region and failure domain.
+        :param format_addresses: returns the answer as JSON, the same for every client.
         """
         self._path = path
-        self._resolve = resolve
+        self._format_addresses = format_addresses
 
     def handle(self, request: HttpRequest, respond: Respond) -> None:
         """Answer one request."""
-        path, _, query = request.target.decode("latin-1").partition("?")
-        if path != self._path:
+        if request.target.partition(b"?")[0].decode("latin-1") != self._path:
             respond(HttpAnswer(404))
             return
-        fields = parse_qs(query)
-        region = fields.get("region", [""])[0]
-        domain = fields.get("zone", [""])[0]
         headers = [(b"Content-Type", b"application/json")]
-        respond(HttpAnswer(200, headers, self._resolve(region, domain)))
+        respond(HttpAnswer(200, headers, self._format_addresses()))
 
 
 class MetricsSurface:
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -118,9 +118,7 @@
 def build_surfaces(instance: EntryInstance, settings: EntrySettings) -> list[Surface]:
     """Return what is served besides requests."""
     ready = ReadySurface(READY_PATH, lambda: instance.ready)
-    resolve = ResolveSurface(
-        RESOLVE_PATH, lambda region, domain: format_addresses(instance, settings)
-    )
+    resolve = ResolveSurface(RESOLVE_PATH, lambda: format_addresses(instance, settings))
     surfaces = [
         Surface(settings.ready_address, ready),
         Surface(settings.resolve_address, resolve),
--- a/tests/core/fleet/test_members.py
+++ b/tests/core/fleet/test_members.py
@@ -60,6 +60,17 @@
     assert membership.ready_members(1.0) == []
 
 
+def test_instance_that_is_gone_for_good_is_dropped():
+    # Guards against heartbeats to thousands of replaced instances.
+    membership = Membership(make_member(0))
+    membership.hear(make_member(1), ready=True, now_ms=0.0)
+    membership.hear(make_member(2), ready=True, now_ms=0.0)
+    membership.retain(frozenset(["i2"]), 1.0)
+    assert len(membership.peers()) == 2
+    membership.retain(frozenset(["i2"]), 60_000.0)
+    assert membership.peers() == [make_member(2)]
+
+
 @given(st.sets(st.integers(min_value=0, max_value=40)), st.integers(min_value=1, max_value=8))
 def test_entry_set_is_spread_and_as_large_as_asked(indexes, size):
     members = [make_member(index) for index in sorted(indexes)]
