--- a/src/persimmonspur/cli/commands/timeline.py
+++ b/src/persimmonspur/cli/commands/timeline.py
@@ -1,6 +1,8 @@
 """``persimmonspur timeline``: the events of all instances in one order."""
 
+import sys
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
@@ -9,6 +11,7 @@
 
 from persimmonspur.adapters.http import HTTP_ERRORS, connect_client
 from persimmonspur.cli.callers import ADDRESS_OPTION, JSON_OPTION, CallerCommand
+from persimmonspur.cli.logs import read_log_lines
 from persimmonspur.cli.ordering import OrderedEntry, order_entries
 from persimmonspur.daemon.timeline import TimelineEntry
 from persimmonspur.errors import ErrorKind, Failure
@@ -21,6 +24,11 @@
 Example, all events of one request:
 
   <info>persimmonspur timeline c0ffee --address 10.0.0.5:7400</info>
+
+The same from log files of instances, or from standard input:
+
+  <info>persimmonspur timeline c0ffee --log entry-1.log,entry-2.log</info>
+  <info>cat *.log | persimmonspur timeline c0ffee --log -</info>
 """
 
 
@@ -41,6 +49,7 @@
     ]
     options = [  # noqa: RUF012
         ADDRESS_OPTION,
+        option("log", None, "read log files instead, separated by commas; - is stdin", flag=False),
         option("only", None, "ask only the given addresses, not all instances", flag=True),
         option("last", None, "print at most this many events", flag=False, default="1000"),
         JSON_OPTION,
@@ -48,6 +57,8 @@
 
     def handle(self) -> int:
         """Collect and print."""
+        if self.option("log"):
+            return self._print_logs(self.option("log").split(","))
         addresses = self.read_addresses()
         if addresses.is_error():
             return self.fail(addresses.error)
@@ -70,6 +81,20 @@
         self._print(ordered, silent)
         return 0
 
+    def _print_logs(self, paths: list[str]) -> int:
+        last = self.read_number("last", 1, 10_000_000)
+        if last.is_error():
+            return self.fail(last.error)
+        entries: list[TimelineEntry] = []
+        for path in paths:
+            try:
+                text = sys.stdin.read() if path == "-" else Path(path).read_text()
+            except (OSError, UnicodeDecodeError) as error:
+                return self.fail(Failure.of(ErrorKind.INVALID_REQUEST, f"--log {path}: {error}"))
+            entries.extend(read_log_lines(text.splitlines(), self.argument("request-id")))
+        self._print(order_entries(entries)[-int(last.ok) :], [])
+        return 0
+
     def _print(self, ordered: list[OrderedEntry], silent: list[str]) -> None:
         if self.option("json"):
             events = [
