Divide the fleet's limits by the registered instances, not by the live ones

An instance that is cut off hears nobody and took half of the retry slack, 0.7 of each endpoint's connections and all cold starts for itself; several such instances at once exceed what endpoints bear. The test fails without the change. Standing: four instances share connections, eight the slack.

--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -134,6 +134,7 @@
         self._peer_server = self.serve(
             self.identity.member.peer_address, PeerStateSurface(self.state.describe_state)
         )
+        self._divide_limits()
         self.state.start()
         gevent.spawn(self._register)
         self.timers.call_later(MAINTENANCE_MS, self._maintain)
@@ -248,12 +249,20 @@
         self.selector.forget(identities)
         self.cold.forget(identities)
         self.sender.retain(identities)
-        ready = self.membership.ready_members(now_ms)
-        self.budget.instances = max(1, min(len(ready), 2 * ENTRY_SET_SIZE))
-        sharing = max(1, min(len(ready), ENTRY_SET_SIZE))
+        self._divide_limits()
+
+    def _divide_limits(self) -> None:
+        """Take this instance's share of the limits that all instances keep together.
+
+        The registered instances count, not the live ones: an instance that is cut off
+        hears nobody, and must not take the whole for itself.
+        """
+        names = [self.identity.member.name, *(peer.name for peer in self.membership.peers())]
+        sharing = min(len(names), ENTRY_SET_SIZE) if len(names) > 1 else ENTRY_SET_SIZE
+        self.budget.instances = 2 * sharing
         self.sender.sharing = sharing
         self.selector.sharing = sharing
-        self.cold.set_members(tuple(member.name for member in ready))
+        self.cold.set_members(tuple(names))
 
     def _note_stall(self, now_ms: float) -> None:
         """Notice that this process stood still, because of its machine or its own work."""
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -6,6 +6,7 @@
 import gevent
 import gevent.socket
 import pytest
+from attrs import evolve
 from platformsim import (
     SearcherStandIn,
     StoreStandIn,
@@ -292,6 +293,32 @@
     assert lines[1]["status"] == 502
 
 
+def test_refused_request_is_explained_in_the_log(deployment):
+    deployment.configure(make_route())
+    deployment.start()
+    assert deployment.ask("/one/x", request_id="refused-1")[0] == 503
+    lines = [line for line in deployment.read_log() if line.get("request_id") == "refused-1"]
+    assert [line["outcome"] for line in lines] == ["unavailable"]
+    assert lines[0]["attempts"] == [] and lines[0]["version"] == 1
+
+
+def test_incomplete_answer_is_explained_in_the_log(deployment):
+    services = [f"s{index}" for index in range(4)]
+    for service in services:
+        deployment.add_searcher(f"i-{service}", service)
+    deployment.searchers["i-s3"].latency_s = 2.0
+    deployment.configure(make_gather_route(services))
+    deployment.start()
+    status, fields, _ = deployment.ask("/all/x", request_id="partial-1")
+    assert status == 200 and fields["x-missing-parts"] == "1"
+    lines = [line for line in deployment.read_log() if line.get("request_id") == "partial-1"]
+    summary = lines[-1]
+    assert (summary["outcome"], summary["covered"], summary["total"]) == ("partial", 3, 4)
+    waiting = [attempt for attempt in summary["attempts"] if attempt["result"] == "none yet"]
+    assert [attempt["endpoint"] for attempt in waiting] == ["i-s3"]
+    assert waiting[0]["factor_age_ms"] == -1 and waiting[0]["outstanding"] == 0
+
+
 @pytest.fixture
 def pair(tmp_path):
     """Two instances, each with its own way to one platform's store."""
@@ -341,6 +368,24 @@
     assert second.ask("/one/x")[0] == 200
 
 
+def test_instance_that_hears_nobody_takes_no_larger_share(pair):
+    # Guards against cut-off instances that each spend the retry budget, the connections
+    # and the cold starts of the whole fleet.
+    first, second = pair
+    first.configure(make_route())
+    first.start()
+    for index in range(12):
+        member = second.instance.identity.member
+        first.instance.membership.register(evolve(member, name=f"peer-{index}"), 0.0)
+    first.instance._maintain()
+    assert len(first.instance.membership.ready_members(first.instance.clock.now_ms())) == 1
+    assert first.instance.budget.instances == 8
+    assert first.instance.sender.sharing == 4
+    endpoint_limit = first.instance.cold
+    taken = sum(endpoint_limit.take("e", 13.0, float(now_ms)) for now_ms in range(0, 1_000, 10))
+    assert taken <= 1
+
+
 def test_older_state_of_a_peer_changes_nothing(pair):
     first, _second = pair
     first.add_searcher("i-1", "s1")
