Tell a broken write after the write has returned

A write on a kept connection whose peer had just reset it reported its failure before the exchange had noted the send; the result was lost and the request waited for its deadline. Found by reading; the test fails without the change.

--- a/src/persimmonspur/entry/sockets.py
+++ b/src/persimmonspur/entry/sockets.py
@@ -101,7 +101,8 @@
         except BlockingIOError:
             sent = 0
         except OSError as error:
-            self._end(str(error))
+            # The caller has not noted its request yet, so the failure follows later.
+            gevent.get_hub().loop.run_callback(self._end, str(error))
             return
         if sent < len(data):
             self._pending += data[sent:]
