--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -11,8 +11,8 @@
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import RETURN_MS, Endpoint, EndpointDirectory
 from persimmonspur.core.fleet.lag import LagDetector
-from persimmonspur.core.fleet.members import Member
 from persimmonspur.core.fleet.messages import Timers
+from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
 from persimmonspur.entry import events
 from persimmonspur.entry.calls import HttpCaller
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from persimmonspur.core.fleet.endpoints import Endpoint
-from persimmonspur.core.fleet.members import Member
+from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import (
     ClientLimits,
     Gather,
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -10,8 +10,8 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import Endpoint
-from persimmonspur.core.fleet.members import Member, measure_capability
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, Headers
+from persimmonspur.core.fleet.roles import Member, measure_capability
 from persimmonspur.entry import events as entry_events
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.instance import Codecs, EntryInstance, Identity
--- a/src/persimmonspur/platform/sources.py
+++ b/src/persimmonspur/platform/sources.py
@@ -7,7 +7,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import Endpoint
-from persimmonspur.core.fleet.members import Member
+from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.entry.feeds import Snapshot, Updates
 from persimmonspur.errors import Failure
--- /dev/null
+++ b/tests/core/fleet/test_roles.py
@@ -0,0 +1,99 @@
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonspur.core.fleet.roles import (
+    Member,
+    choose_entry_set,
+    choose_relays,
+    measure_capability,
+)
+
+
+def make_member(index, incarnation=1, domains=3):
+    return Member(
+        f"i{index}",
+        incarnation,
+        f"d{index % domains}",
+        "r",
+        f"10.0.0.{index}:80",
+        f"10.0.0.{index}:81",
+    )
+
+
+@given(st.sets(st.integers(min_value=0, max_value=40)), st.integers(min_value=1, max_value=8))
+def test_entry_set_is_spread_and_as_large_as_asked(indexes, size):
+    members = [make_member(index) for index in sorted(indexes)]
+    chosen = choose_entry_set(members, size)
+    assert len(chosen) == min(size, len(members))
+    assert len({member.name for member in chosen}) == len(chosen)
+    available = {member.failure_domain for member in members}
+    assert len({member.failure_domain for member in chosen}) == min(size, len(available))
+
+
+@given(st.integers(min_value=5, max_value=30), st.integers(min_value=0, max_value=29))
+def test_entry_set_changes_by_one_when_one_instance_goes(count, gone):
+    # Guards against a set that moves all callers when one instance is lost.
+    members = [make_member(index) for index in range(count)]
+    before = {member.name for member in choose_entry_set(members, 4)}
+    rest = [member for member in members if member.name != f"i{gone}"]
+    after = {member.name for member in choose_entry_set(rest, 4)}
+    assert len(before - after) <= 1
+
+
+def make_fleet(capabilities, domains=3):
+    members = []
+    for index, capability in enumerate(capabilities):
+        members.append(evolve(make_member(index, domains=domains), capability=capability))
+    return members
+
+
+def test_capable_machines_are_chosen_first():
+    # Guards against callers that are sent to machines whose link or core is soon full,
+    # while larger ones stay idle: every gather waits for the slowest of the set.
+    members = make_fleet([0.35] * 50 + [2.15] * 6)
+    chosen = choose_entry_set(members, 4)
+    assert [member.capability for member in chosen] == [2.15] * 4
+
+
+def test_capable_machines_of_one_failure_domain_are_not_enough():
+    # Guards against a set that a single failure domain takes with it.
+    members = [*make_fleet([2.0] * 4, domains=1)]
+    for index in range(4, 8):
+        members.append(evolve(make_member(index), failure_domain="other", capability=0.5))
+    chosen = choose_entry_set(members, 4)
+    assert len({member.failure_domain for member in chosen}) == 2
+
+
+def test_too_few_capable_machines_are_filled_up():
+    # Guards against one large machine that carries the whole deployment.
+    members = make_fleet([4.0, 0.5, 0.5, 0.5, 0.5])
+    assert len(choose_entry_set(members, 4)) == 4
+
+
+def test_capability_is_bounded_by_core_or_link():
+    assert measure_capability(2.0, 200.0) == 2.0
+    assert measure_capability(2.0, 20.0) == 0.5
+    assert measure_capability(0.7, 0.0) == 0.7
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 5), st.sampled_from([0.35, 0.7, 2.15])), min_size=1),
+    st.integers(min_value=1, max_value=6),
+)
+def test_entry_set_of_the_relays_is_that_of_all(machines, domains):
+    # Guards against relays that lack the capable machines that callers should be sent to.
+    members = []
+    for index, (domain, capability) in enumerate(machines):
+        member = make_member(index)
+        domain_name = f"d{domain % domains}"
+        members.append(evolve(member, failure_domain=domain_name, capability=capability))
+    assert choose_entry_set(choose_relays(members)) == choose_entry_set(members)
+
+
+def test_relays_cover_a_lost_failure_domain():
+    # Guards against too few instances for callers while a lost failure domain is noticed.
+    for domains in range(2, 6):
+        relays = choose_relays([make_member(index, domains=domains) for index in range(20)])
+        left = [relay for relay in relays if relay.failure_domain != "d0"]
+        assert len(left) >= 3
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -94,7 +94,7 @@
 
 
 def test_member_survives_the_store():
-    from persimmonspur.core.fleet.members import Member
+    from persimmonspur.core.fleet.roles import Member
 
     member = Member("i-1", 5, "zone-a", "region", "10.0.0.1:1", "10.0.0.1:2")
     assert read_member(make_object(format_member(member))).ok == member
