Let instances follow a relay instead of the store

Cause: every instance watched three kinds itself; each waiting watch is a priced call, and each change wakes all. Ruled out: the lists at the start (five calls each, 665 of them). Relays now keep their recent changes and answer long polls of the instances of their failure domain. A follower turns to the store when its relay fails, stands still, forgot, or lags behind other relays.

The lag check compares with the revision that a feed covers, not with the newest change it saw: an instance that listed after the newest object was removed called the store anew every 600 ms. Evacuations are checked as well.

--- a/src/persimmonspur/entry/calls.py
+++ b/src/persimmonspur/entry/calls.py
@@ -54,6 +54,10 @@
         assert result is not None
         return result
 
+    def close(self) -> None:
+        """Close the connections that no call uses."""
+        self._pool.close_idle()
+
     def _format(self, method: str, path: str, body: bytes) -> bytes:
         lines = [f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n".encode()]
         if body:
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -50,6 +50,9 @@
 PEER_STATE_FAILED = define_event(
     6106, "peer_state_failed", "WARNING", "peer {peer} did not hand over its state: {reason}"
 )
+SOURCE_CHANGED = define_event(
+    6107, "source_changed", "INFO", "changes of the store come from {source}: {reason}"
+)
 CONFIGURATION_IN_EFFECT = define_event(
     6201, "configuration_in_effect", "INFO", "configuration {version} is in effect"
 )
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.history import Batch, ChangeHistory
 from persimmonspur.errors import ErrorKind, Failure
 
 T = TypeVar("T")
@@ -46,12 +47,14 @@
     """Changes since a revision; a removed object is ``None``.
 
     :param newest: revision of the latest change among them; 0 without changes.
+    :param recovering: whether the store was away shortly before, as a relay saw it.
     """
 
     changes: tuple[tuple[str, T | None], ...]
     revision: int
     newest: int = 0
     rejected: tuple[Failure, ...] = ()
+    recovering: bool = False
 
 
 class Source(Protocol[T]):
@@ -73,6 +76,8 @@
     :ivar revision: of the newest state that was applied.
     :ivar newest: revision of the latest change that was applied.
     :ivar reached_ms: local time of the last successful call.
+    :ivar history: recent changes, for instances that follow this one.
+    :ivar on_change: called when changes were applied, or calls begin to fail.
     """
 
     def __init__(
@@ -109,12 +114,23 @@
         self.revision = 0
         self.newest = 0
         self.reached_ms = 0.0
+        self.history: ChangeHistory[T] = ChangeHistory()
+        self.on_change: Callable[[], None] | None = None
+
+    @property
+    def covered(self) -> int:
+        """Revision of the store up to which all changes are known."""
+        return max(self.revision, self.newest)
 
     @property
     def failing(self) -> bool:
         """Whether the last call failed."""
         return self._backoff_ms > 0
 
+    def note_newest(self, revision: int) -> None:
+        """Note that a peer handed over the state up to a change."""
+        self.newest = max(self.newest, revision)
+
     def start(self) -> None:
         """Start to follow."""
         self._greenlet = gevent.spawn(self._follow)
@@ -148,6 +164,7 @@
         self._on_snapshot(listed.ok, self._is_recovering())
         self.revision = listed.ok.revision
         self.newest = max(self.newest, listed.ok.newest)
+        self.history.restart(self.revision)
 
     def _watch_once(self) -> None:
         # The spread keeps instances that started together from calling together.
@@ -162,14 +179,26 @@
             self._back_off(watched.error)
             return
         self._note_reached()
-        if watched.ok.changes or watched.ok.rejected:
-            self._on_updates(watched.ok, self._is_recovering())
-        self.revision = watched.ok.revision
-        self.newest = max(self.newest, watched.ok.newest)
         self._suspect = False
+        self._apply(watched.ok)
         if watched.ok.changes and self._pause_ms:
             gevent.sleep(self._pause_ms / 1000)
 
+    def _apply(self, updates: Updates[T]) -> None:
+        recovering = updates.recovering or self._is_recovering()
+        if updates.changes or updates.rejected:
+            self._on_updates(updates, recovering)
+        batch = Batch(self.revision, updates.revision, updates.newest, updates.changes, recovering)
+        self.revision = updates.revision
+        self.newest = max(self.newest, updates.newest)
+        self.history.append(batch)
+        if updates.changes:
+            self._tell()
+
+    def _tell(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
+
     def _is_recovering(self) -> bool:
         return self._clock.now_ms() - self._recovered_ms < RECOVERY_MS
 
@@ -183,4 +212,5 @@
     def _back_off(self, failure: Failure) -> None:
         self._on_store(self.name, failure)
         self._backoff_ms = min(BACKOFF_MAX_MS, max(BACKOFF_FIRST_MS, self._backoff_ms * 2))
+        self._tell()
         gevent.sleep(self._backoff_ms * (0.5 + self._rng.random()) / 1000)
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -15,6 +15,7 @@
 from persimmonspur.core.fleet.members import ACTIVE_HEARTBEAT_MS, NO_HEARTBEATS, Membership
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.entry.sockets import READ, split_address
+from persimmonspur.entry.wire import Revisions
 
 MAX_DATAGRAM_BYTES = 1_400
 # Heartbeat intervals are multiples of this time.
@@ -24,8 +25,7 @@
 class Heartbeat(msgspec.Struct, array_like=True):
     """What an instance tells the others.
 
-    :param configuration: version of its route table; 0 if it has none.
-    :param endpoints: store revision of the latest change of an endpoint that it knows.
+    :param newest: the latest changes of the store that it knows.
     :param interval_ms: in which the next heartbeat follows; 0 if none does.
     :param capability: load that the sender's machine bears, in cores.
     """
@@ -37,8 +37,7 @@
     caller_address: str
     peer_address: str
     ready: bool
-    configuration: int
-    endpoints: int
+    newest: Revisions
     interval_ms: float
     capability: float
 
@@ -51,8 +50,7 @@
     """
 
     ready: bool
-    configuration: int
-    endpoints: int
+    newest: Revisions
     interval_ms: float
 
 
@@ -80,7 +78,7 @@
         self._reader.start(self._receive)
         self._timer: Any = loop.timer(TICK_MS / 1000, TICK_MS / 1000)
         self._timer.start(self._tick)
-        self._sent = OwnState(False, 0, 0, NO_HEARTBEATS)
+        self._sent = OwnState(False, Revisions(0, 0, 0), NO_HEARTBEATS)
         self._ticks = 0
         self.sent = 0
         self.undelivered = 0
@@ -99,8 +97,7 @@
                 own.caller_address,
                 own.peer_address,
                 state.ready,
-                state.configuration,
-                state.endpoints,
+                state.newest,
                 state.interval_ms,
                 own.capability,
             )
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -15,6 +15,7 @@
     RELAY_HEARTBEAT_MS,
     Membership,
 )
+from persimmonspur.core.fleet.relays import RelayChoice
 from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE, Member
 from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.core.fleet.selection import ReplicaSelector
@@ -23,8 +24,9 @@
 from persimmonspur.entry.feeds import LIST_MAX_MS
 from persimmonspur.entry.heartbeats import Heartbeat, Heartbeats, OwnState
 from persimmonspur.entry.observer import Observer
-from persimmonspur.entry.peerstate import PeerStateSurface
+from persimmonspur.entry.peerstate import PeerSurface
 from persimmonspur.entry.records import EventLog
+from persimmonspur.entry.relays import RelayClient
 from persimmonspur.entry.sender import EndpointCodec, EndpointSender
 from persimmonspur.entry.server import Handler, HttpServer
 from persimmonspur.entry.state import Sources, StoreState
@@ -83,10 +85,16 @@
         self.timers = timers
         self._sources = sources
         rng = random.Random(identity.member.name + str(identity.member.incarnation))
+        self.membership = Membership(identity.member)
         self.state = StoreState(
-            sources, self.observer, clock, timers, rng, self._forget_removed_routes
+            sources,
+            self.observer,
+            clock,
+            timers,
+            rng,
+            self._forget_removed_routes,
+            RelayClient(RelayChoice(self.membership), clock, timers, self._note_source),
         )
-        self.membership = Membership(identity.member)
         self.selector = ReplicaSelector(identity.member.failure_domain, rng)
         self.latencies = RouteLatencies()
         self.budget = RetryBudget(
@@ -130,7 +138,8 @@
         """
         self.heartbeats = Heartbeats(self.membership, self._describe, self._take_heartbeat)
         self._peer_server = self.serve(
-            self.identity.member.peer_address, PeerStateSurface(self.state.describe_state)
+            self.identity.member.peer_address,
+            PeerSurface(self.state.describe_state, self.state.relay_surface),
         )
         self._divide_limits()
         self.state.start()
@@ -211,6 +220,9 @@
         if self.heartbeats is not None:
             self.heartbeats.send()
 
+    def _note_source(self, source: str, reason: str) -> None:
+        self.log.record(events.SOURCE_CHANGED, source=source, reason=reason)
+
     def _forget_removed_routes(self, table: RouteTable) -> None:
         self.latencies.retain(frozenset(route.name for route in table.routes))
 
@@ -218,8 +230,7 @@
         self.membership.own_ready = self.ready
         return OwnState(
             self.ready,
-            self.state.version,
-            self.state.endpoint_feed.newest,
+            self.state.newest,
             self._choose_heartbeat_interval(),
         )
 
@@ -240,7 +251,7 @@
                 incarnation=member.incarnation,
                 ready=heartbeat.ready,
             )
-        self.state.compare(member, heartbeat.configuration, heartbeat.endpoints)
+        self.state.compare(member, heartbeat.newest)
 
     def _maintain(self) -> None:
         if self.heartbeats is None:
--- a/src/persimmonspur/entry/peerstate.py
+++ b/src/persimmonspur/entry/peerstate.py
@@ -10,9 +10,11 @@
 from expression import Error, Ok, Result
 
 from persimmonspur.core.fleet.endpoints import Endpoint
-from persimmonspur.core.fleet.routes import ClientLimits, Route, RouteTable, ServiceLimits
+from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.entry.calls import HttpCaller
+from persimmonspur.entry.relays import RelaySurface
 from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
+from persimmonspur.entry.wire import Revisions, TableMessage, unpack_endpoint, unpack_table
 from persimmonspur.errors import ErrorKind, Failure
 
 STATE_PATH = "/state"
@@ -22,26 +24,21 @@
 class PeerState(msgspec.Struct):
     """What an instance knows from the store.
 
-    :param version: of the route table; 0 without one.
-    :param newest: revision of the latest change of an endpoint.
-    :param sent_ms: sender's local time, to which cold starts refer.
+    :param table: ``None`` without a configuration.
     :param evacuated: failure domains whose endpoints get no requests.
+    :param newest: up to which changes the state goes.
+    :param sent_ms: sender's local time, to which cold starts refer.
     """
 
-    version: int
-    routes: list[Route]
-    services: dict[str, ServiceLimits]
-    limits: ClientLimits
+    table: TableMessage | None
     endpoints: list[Endpoint]
-    newest: int
     evacuated: list[str]
+    newest: Revisions
     sent_ms: float
 
     def build_table(self) -> RouteTable | None:
         """Return the route table, ``None`` without one."""
-        if not self.version:
-            return None
-        return RouteTable(self.version, tuple(self.routes), self.services, self.limits)
+        return unpack_table(self.table) if self.table is not None else None
 
     def build_endpoints(self, now_ms: float) -> list[Endpoint]:
         """Return the endpoints with cold starts in the receiver's time.
@@ -49,26 +46,22 @@
         :param now_ms: local time of the receiver.
         """
         shift_ms = now_ms - self.sent_ms
-        endpoints = []
-        for endpoint in self.endpoints:
-            if endpoint.cold_until_ms:
-                endpoint = endpoint.move_cold_end(shift_ms)
-            endpoints.append(endpoint)
-        return endpoints
+        return [unpack_endpoint(endpoint, shift_ms) for endpoint in self.endpoints]
 
 
-class PeerStateSurface:
-    """Answers other instances that ask for the state."""
+class PeerSurface:
+    """Answers other instances: those that ask for the state, and those that follow this one."""
 
-    def __init__(self, describe: Callable[[], PeerState]) -> None:
+    def __init__(self, describe: Callable[[], PeerState], relays: RelaySurface) -> None:
         self._describe = describe
+        self._relays = relays
 
-    def handle(self, request: HttpRequest, respond: Respond) -> None:
+    def handle(self, request: HttpRequest, respond: Respond) -> Callable[[], None] | None:
         """Answer one request."""
         if request.target.decode("latin-1") != STATE_PATH:
-            respond(HttpAnswer(404))
-            return
+            return self._relays.handle(request, respond)
         respond(HttpAnswer(200, [], msgspec.msgpack.encode(self._describe())))
+        return None
 
 
 def fetch_state(caller: HttpCaller) -> Result[PeerState, Failure]:
@@ -77,6 +70,7 @@
     :param caller: of the peer's address.
     """
     called = caller.call("GET", STATE_PATH, b"", FETCH_TIMEOUT_MS)
+    caller.close()
     if called.is_error():
         return Error(called.error)
     if called.ok.status != 200:
--- /dev/null
+++ b/src/persimmonspur/entry/relays.py
@@ -0,0 +1,257 @@
+"""Changes of the store that relays hand on, so that few instances watch it.
+
+A relay keeps its recent changes and answers long polls of the instances that follow it.
+"""
+
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
+from urllib.parse import parse_qs
+
+import msgspec
+from attrs import define, field, frozen
+from expression import Error, Ok, Result
+
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.messages import TimerHandle, Timers
+from persimmonspur.core.fleet.relays import RelayChoice
+from persimmonspur.core.fleet.roles import Member
+from persimmonspur.entry.calls import HttpCaller
+from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
+from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
+from persimmonspur.errors import ErrorKind, Failure
+
+T = TypeVar("T")
+W = TypeVar("W")
+
+CHANGES_PATH = "/changes/"
+# Source of changes where no relay is followed.
+STORE = "store"
+# Polls are short because a relay that stands still answers none: its followers notice
+# within this time and turn to the store.
+POLL_MS = 1_500.0
+# Time beyond the poll that the answer may take.
+ANSWER_MS = 500.0
+
+
+class ChangesMessage(msgspec.Struct, Generic[W]):
+    """Answer of a relay.
+
+    :param sent_ms: the relay's local time.
+    """
+
+    revision: int
+    newest: int
+    recovering: bool
+    sent_ms: float
+    changes: list[tuple[str, W | None]]
+
+
+@frozen
+class RelayFormat(Generic[T, W]):
+    """How the objects of one kind travel between instances.
+
+    :param message_type: :class:`ChangesMessage` of the wire type.
+    :param unpack: takes a wire value and the receiver's time less the sender's.
+    """
+
+    message_type: Any
+    pack: Callable[[T], W]
+    unpack: Callable[[W, float], T]
+
+
+@define(eq=False)
+class _Poll:
+    """A follower that waits."""
+
+    after: int
+    respond: Respond
+    timer: TimerHandle | None = field(default=None)
+
+
+class ChangeRelay(Generic[T, W]):
+    """Answers the followers of one feed."""
+
+    def __init__(
+        self, feed: Feed[T], relay_format: RelayFormat[T, W], clock: Clock, timers: Timers
+    ) -> None:
+        """Hand on the changes that a feed takes."""
+        self._feed = feed
+        self._format = relay_format
+        self._clock = clock
+        self._timers = timers
+        self._polls: set[_Poll] = set()
+        feed.on_change = self._wake
+
+    def poll(self, after: int, wait_ms: float, respond: Respond) -> Callable[[], None] | None:
+        """Answer as soon as there are changes, or after a time without any.
+
+        :param after: revision that the follower knows.
+        :returns: what to call if the follower leaves before.
+        """
+        poll = _Poll(after, respond)
+        if self._answer(poll, final=False):
+            return None
+        self._polls.add(poll)
+        poll.timer = self._timers.call_later(wait_ms, lambda: self._end(poll))
+        return lambda: self._forget(poll)
+
+    def _wake(self) -> None:
+        for poll in list(self._polls):
+            if self._answer(poll, final=False):
+                self._forget(poll)
+
+    def _end(self, poll: _Poll) -> None:
+        self._forget(poll)
+        self._answer(poll, final=True)
+
+    def _forget(self, poll: _Poll) -> None:
+        self._polls.discard(poll)
+        if poll.timer is not None:
+            poll.timer.cancel()
+
+    def _answer(self, poll: _Poll, final: bool) -> bool:
+        if self._feed.failing:
+            poll.respond(HttpAnswer(503))
+            return True
+        batch = self._feed.history.collect(poll.after)
+        if batch is None:
+            poll.respond(HttpAnswer(410))
+            return True
+        if not batch.changes and not final:
+            return False
+        changes = []
+        for name, value in batch.changes:
+            changes.append((name, self._format.pack(value) if value is not None else None))
+        message = ChangesMessage(
+            batch.revision, batch.newest, batch.recovering, self._clock.now_ms(), changes
+        )
+        poll.respond(HttpAnswer(200, [], msgspec.msgpack.encode(message)))
+        return True
+
+
+class RelaySurface:
+    """Serves the changes of several feeds by name."""
+
+    def __init__(self, relays: dict[str, ChangeRelay[Any, Any]]) -> None:
+        self._relays = relays
+
+    def handle(self, request: HttpRequest, respond: Respond) -> Callable[[], None] | None:
+        """Answer one poll."""
+        path, _, query = request.target.decode("latin-1").partition("?")
+        relay = self._relays.get(path.removeprefix(CHANGES_PATH))
+        fields = parse_qs(query)
+        after = fields.get("after", [""])[0]
+        if relay is None or not after.isdigit():
+            respond(HttpAnswer(404))
+            return None
+        return relay.poll(int(after), POLL_MS, respond)
+
+
+class RelayClient:
+    """Kept connections to the relay that this instance follows."""
+
+    def __init__(
+        self,
+        choice: RelayChoice,
+        clock: Clock,
+        timers: Timers,
+        on_source: Callable[[str, str], None],
+    ) -> None:
+        """Follow nobody yet.
+
+        :param on_source: told when another source is asked for changes, and why.
+        """
+        self.choice = choice
+        self.clock = clock
+        self._timers = timers
+        self._on_source = on_source
+        self._source = STORE
+        self._address = ""
+        self._caller: HttpCaller | None = None
+
+    def note_source(self, source: str, reason: str) -> None:
+        """Note what is asked for changes.
+
+        :param source: a relay's name, or :data:`STORE`.
+        """
+        if source != self._source:
+            self._source = source
+            self._on_source(source, reason)
+
+    def open(self, relay: Member) -> HttpCaller:
+        """Return the connections to a relay; those to an earlier one are given up."""
+        self.note_source(relay.name, "nearest relay")
+        if self._caller is None or self._address != relay.peer_address:
+            if self._caller is not None:
+                self._caller.close()
+            self._address = relay.peer_address
+            self._caller = HttpCaller(relay.peer_address, self.clock, self._timers)
+        return self._caller
+
+
+class RelayedSource(Generic[T, W]):
+    """Lists from the store, and watches a relay or else the store."""
+
+    def __init__(
+        self,
+        name: str,
+        store: Source[T],
+        client: RelayClient,
+        relay_format: RelayFormat[T, W],
+    ) -> None:
+        """Put relays before a source.
+
+        :param name: of the feed.
+        :param store: the source itself.
+        """
+        self._name = name
+        self._store = store
+        self._client = client
+        self._format = relay_format
+
+    def list(self, timeout_ms: float) -> Result[Snapshot[T], Failure]:
+        """Return all objects."""
+        return self._store.list(timeout_ms)
+
+    def watch(self, revision: int, wait_ms: float) -> Result[Updates[T], Failure]:
+        """Wait for changes; the store is asked if there is no relay or it fails."""
+        now_ms = self._client.clock.now_ms()
+        relay = self._client.choice.choose(now_ms)
+        if relay is None:
+            self._client.note_source(STORE, "no relay to follow")
+            return self._store.watch(revision, wait_ms)
+        watched = self._watch_relay(relay, revision)
+        if watched.is_ok():
+            return watched
+        self._client.choice.rest(relay, self._client.clock.now_ms())
+        self._client.note_source(STORE, watched.error.message)
+        return self._store.watch(revision, wait_ms)
+
+    def _watch_relay(self, relay: Member, revision: int) -> Result[Updates[T], Failure]:
+        path = f"{CHANGES_PATH}{self._name}?after={revision}"
+        called = self._client.open(relay).call("GET", path, b"", POLL_MS + ANSWER_MS)
+        if called.is_error():
+            return Error(called.error)
+        if called.ok.status != 200:
+            return Error(_describe(relay, f"status {called.ok.status}"))
+        try:
+            message = msgspec.msgpack.decode(called.ok.body, type=self._format.message_type)
+        except msgspec.DecodeError as error:
+            return Error(_describe(relay, str(error)))
+        return Ok(self._read(message))
+
+    def _read(self, message: ChangesMessage[W]) -> Updates[T]:
+        shift_ms = self._client.clock.now_ms() - message.sent_ms
+        changes: list[tuple[str, T | None]] = []
+        for name, value in message.changes:
+            changes.append((name, self._read_value(value, shift_ms)))
+        return Updates(
+            tuple(changes), message.revision, message.newest, recovering=message.recovering
+        )
+
+    def _read_value(self, value: W | None, shift_ms: float) -> T | None:
+        return self._format.unpack(value, shift_ms) if value is not None else None
+
+
+def _describe(relay: Member, reason: str) -> Failure:
+    return Failure.of(ErrorKind.UNREACHABLE, f"relay {relay.name}: {reason}")
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -19,12 +19,24 @@
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerState, fetch_state
+from persimmonspur.entry.relays import ChangeRelay, RelayClient, RelayedSource, RelaySurface
+from persimmonspur.entry.wire import (
+    ENDPOINT_FORMAT,
+    EVACUATION_FORMAT,
+    TABLE_FORMAT,
+    Revisions,
+    pack_table,
+)
 from persimmonspur.errors import Failure
 
 # Changes come in bursts, and each watch is one priced call at every instance. These rests
 # after a change are short against the bounds on drains and configurations.
 ENDPOINT_PAUSE_MS = 500.0
 CONFIGURATION_PAUSE_MS = 200.0
+# Names of the feeds, also between instances.
+CONFIGURATION = "configuration"
+ENDPOINTS = "endpoints"
+EVACUATIONS = "evacuations"
 
 
 class Registry(Protocol):
@@ -59,22 +71,23 @@
         timers: Timers,
         rng: random.Random,
         on_table: Callable[[RouteTable], None],
+        relays: RelayClient,
     ) -> None:
         """Know nothing yet.
 
         :param on_table: told of each new route table.
+        :param relays: which instances to follow instead of the store.
         """
+        self._relays = relays
         self._observer = observer
         self._clock = clock
         self._timers = timers
         self._on_table = on_table
         self.routes = RouteTableHolder()
         self.endpoints = EndpointDirectory()
-        self._configuration_lag = LagDetector()
-        self._endpoint_lag = LagDetector()
         self.configuration_feed: Feed[RouteTable] = Feed(
-            "configuration",
-            sources.configuration,
+            CONFIGURATION,
+            RelayedSource(CONFIGURATION, sources.configuration, relays, TABLE_FORMAT),
             self._take_configurations,
             self._take_configuration_updates,
             observer.note_store_call,
@@ -83,8 +96,8 @@
             CONFIGURATION_PAUSE_MS,
         )
         self.endpoint_feed: Feed[Endpoint] = Feed(
-            "endpoints",
-            sources.endpoints,
+            ENDPOINTS,
+            RelayedSource(ENDPOINTS, sources.endpoints, relays, ENDPOINT_FORMAT),
             self._take_endpoints,
             self._take_endpoint_updates,
             observer.note_store_call,
@@ -94,8 +107,8 @@
         )
         self._evacuated: set[str] = set()
         self.evacuation_feed: Feed[str] = Feed(
-            "evacuations",
-            sources.evacuations,
+            EVACUATIONS,
+            RelayedSource(EVACUATIONS, sources.evacuations, relays, EVACUATION_FORMAT),
             self._take_evacuations,
             self._take_evacuation_updates,
             observer.note_store_call,
@@ -107,6 +120,14 @@
             self.endpoint_feed,
             self.evacuation_feed,
         )
+        self._lags = {feed.name: LagDetector() for feed in self.feeds}
+        self.relay_surface = RelaySurface(
+            {
+                CONFIGURATION: ChangeRelay(self.configuration_feed, TABLE_FORMAT, clock, timers),
+                ENDPOINTS: ChangeRelay(self.endpoint_feed, ENDPOINT_FORMAT, clock, timers),
+                EVACUATIONS: ChangeRelay(self.evacuation_feed, EVACUATION_FORMAT, clock, timers),
+            }
+        )
 
     @property
     def complete(self) -> bool:
@@ -133,18 +154,26 @@
         table = self.routes.table
         return table.limits if table is not None else ClientLimits()
 
-    def compare(self, peer: Member, version: int, newest: int) -> None:
+    @property
+    def newest(self) -> Revisions:
+        """Revisions of the latest changes that are in effect here."""
+        return Revisions(
+            self.configuration_feed.newest, self.endpoint_feed.newest, self.evacuation_feed.newest
+        )
+
+    def compare(self, peer: Member, newest: Revisions) -> None:
         """Take what a peer announces and catch up if this instance lags behind.
 
-        :param version: of the peer's configuration.
-        :param newest: revision of the latest endpoint change that the peer knows.
+        :param newest: revisions of the latest changes that the peer knows.
         """
-        now_ms = self._clock.now_ms()
-        if self._configuration_lag.note(version, self.version, now_ms):
-            self._renew(self.configuration_feed, self.version, version, peer)
-        own = self.endpoint_feed.newest
-        if self._endpoint_lag.note(newest, own, now_ms):
-            self._renew(self.endpoint_feed, own, newest, peer)
+        self._compare_feed(self.configuration_feed, newest.configuration, peer)
+        self._compare_feed(self.endpoint_feed, newest.endpoints, peer)
+        self._compare_feed(self.evacuation_feed, newest.evacuations, peer)
+
+    def _compare_feed(self, feed: Feed[Any], announced: int, peer: Member) -> None:
+        own = feed.covered
+        if self._lags[feed.name].note(announced, own, self._clock.now_ms()):
+            self._renew(feed, own, announced, peer)
 
     def _take_configurations(self, snapshot: Snapshot[RouteTable], after_outage: bool) -> None:
         for failure in snapshot.rejected:
@@ -249,8 +278,10 @@
         if feed.failing:
             # The store does not answer this instance; a peer can.
             gevent.spawn(self._take_peer_state, peer)
-        else:
-            feed.restart()
+            return
+        # The relay that this instance follows may be what lags.
+        self._relays.choice.rest_all(self._clock.now_ms())
+        feed.restart()
 
     def _take_peer_state(self, peer: Member) -> None:
         fetched = fetch_state(HttpCaller(peer.peer_address, self._clock, self._timers))
@@ -264,25 +295,28 @@
         table = state.build_table()
         if table is not None:
             self._take_table(table)
-        if state.newest > self.endpoint_feed.newest:
+            self.configuration_feed.note_newest(state.newest.configuration)
+        if state.newest.endpoints > self.endpoint_feed.covered:
             self.endpoints.replace_all(state.build_endpoints(now_ms), False, now_ms)
-            self.endpoint_feed.newest = state.newest
+            self.endpoint_feed.note_newest(state.newest.endpoints)
+        if state.newest.evacuations > self.evacuation_feed.covered:
             self._evacuated = set(state.evacuated)
             self._apply_evacuations()
+            self.evacuation_feed.note_newest(state.newest.evacuations)
         self._observer.log.record(
-            events.PEER_STATE_TAKEN, peer=peer.name, version=state.version, newest=state.newest
+            events.PEER_STATE_TAKEN,
+            peer=peer.name,
+            version=self.version,
+            newest=state.newest.endpoints,
         )
 
     def describe_state(self) -> PeerState:
         """Return what this instance knows from the store, for a peer."""
         table = self.routes.table
         return PeerState(
-            table.version if table is not None else 0,
-            list(table.routes) if table is not None else [],
-            table.services if table is not None else {},
-            self.get_client_limits(),
+            pack_table(table) if table is not None else None,
             self.endpoints.list_all(),
-            self.endpoint_feed.newest,
             sorted(self.endpoints.evacuated),
+            self.newest,
             self._clock.now_ms(),
         )
--- /dev/null
+++ b/src/persimmonspur/entry/wire.py
@@ -0,0 +1,56 @@
+"""Forms in which instances hand configuration and endpoints to each other."""
+
+import msgspec
+
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.routes import ClientLimits, Route, RouteTable, ServiceLimits
+from persimmonspur.entry.relays import ChangesMessage, RelayFormat
+
+
+class Revisions(msgspec.Struct, frozen=True, array_like=True):
+    """Revisions of the store at which the latest known changes were made; 0 if none is known."""
+
+    configuration: int
+    endpoints: int
+    evacuations: int
+
+
+class TableMessage(msgspec.Struct):
+    """A route table without its index."""
+
+    version: int
+    routes: list[Route]
+    services: dict[str, ServiceLimits]
+    limits: ClientLimits
+
+
+def pack_table(table: RouteTable) -> TableMessage:
+    """Return the form of a route table on the wire."""
+    return TableMessage(table.version, list(table.routes), table.services, table.limits)
+
+
+def unpack_table(message: TableMessage, shift_ms: float = 0.0) -> RouteTable:
+    """Return the route table of a message.
+
+    :param shift_ms: not needed, since a table holds no local time.
+    """
+    return RouteTable(message.version, tuple(message.routes), message.services, message.limits)
+
+
+def unpack_endpoint(endpoint: Endpoint, shift_ms: float) -> Endpoint:
+    """Return an endpoint with its cold start in the receiver's time.
+
+    :param shift_ms: the receiver's local time less the sender's.
+    """
+    return endpoint.move_cold_end(shift_ms) if endpoint.cold_until_ms else endpoint
+
+
+TABLE_FORMAT: RelayFormat[RouteTable, TableMessage] = RelayFormat(
+    ChangesMessage[TableMessage], pack_table, unpack_table
+)
+ENDPOINT_FORMAT: RelayFormat[Endpoint, Endpoint] = RelayFormat(
+    ChangesMessage[Endpoint], lambda endpoint: endpoint, unpack_endpoint
+)
+EVACUATION_FORMAT: RelayFormat[str, str] = RelayFormat(
+    ChangesMessage[str], lambda name: name, lambda name, shift_ms: name
+)
--- /dev/null
+++ b/tests/core/fleet/test_relays.py
@@ -0,0 +1,60 @@
+from attrs import evolve
+
+from persimmonspur.core.fleet.members import RELAY_HEARTBEAT_MS, Membership
+from persimmonspur.core.fleet.relays import REST_MS, RelayChoice
+from persimmonspur.core.fleet.roles import Member
+
+
+def make_member(index, domain):
+    address = f"10.0.0.{index}"
+    return Member(f"i{index}", 1, domain, "r", f"{address}:80", f"{address}:81")
+
+
+def make_choice(now_ms=0.0):
+    """An instance of domain ``a`` that hears two relays of each of three domains."""
+    own = evolve(make_member(99, "a"), capability=0.1)
+    membership = Membership(own)
+    membership.own_ready = True
+    for index in range(6):
+        member = evolve(make_member(index, "abc"[index % 3]), capability=1.0)
+        membership.hear(member, True, now_ms, RELAY_HEARTBEAT_MS)
+    return RelayChoice(membership)
+
+
+def test_relay_of_the_own_failure_domain_is_followed():
+    # Guards against news that cross failure domains once per follower.
+    assert make_choice().choose(0.0).failure_domain == "a"
+
+
+def test_relays_follow_the_store():
+    # Guards against relays that follow each other and hear nothing new.
+    membership = Membership(make_member(0, "a"))
+    membership.own_ready = True
+    membership.hear(make_member(3, "a"), True, 0.0, RELAY_HEARTBEAT_MS)
+    assert RelayChoice(membership).choose(0.0) is None
+
+
+def test_failed_relay_is_left_for_the_other_and_then_for_the_store():
+    choice = make_choice()
+    first = choice.choose(0.0)
+    choice.rest(first, 0.0)
+    second = choice.choose(0.0)
+    assert second.failure_domain == "a"
+    assert second != first
+    choice.rest(second, 0.0)
+    assert choice.choose(0.0) is None
+
+
+def test_rested_relay_is_followed_again():
+    # Guards against a fleet that watches the store with every instance after one outage.
+    choice = make_choice()
+    choice.rest_all(0.0)
+    assert choice.choose(0.0) is None
+    for index in range(6):
+        member = evolve(make_member(index, "abc"[index % 3]), capability=1.0)
+        choice._membership.hear(member, True, REST_MS, RELAY_HEARTBEAT_MS)
+    assert choice.choose(REST_MS) is not None
+
+
+def test_silent_relay_is_not_followed():
+    assert make_choice().choose(60_000.0) is None
