Log suspected endpoints; list all faults of the settings; set the log level

The log lacked two decisions: an endpoint that is avoided from now on, and one that is trusted again. Both are one line per change, with a hysteresis of the error rate. New gauges: endpoints by state, used part of the retry budget, sends that run. A broken settings file named only its first fault; file and environment are now listed together. PERSIMMONSPUR_LOG_LEVEL leaves out lines below a level, which also allows the cost of the log to be measured.

--- a/src/persimmonspur/core/fleet/budget.py
+++ b/src/persimmonspur/core/fleet/budget.py
@@ -80,8 +80,7 @@
         """
         window = self._windows.setdefault(service, _Window())
         bucket = window.advance(now_ms, self._window_ms)
-        slack = self._slack * USED_SLACK / max(1, self.instances)
-        room = self._ratio * USED_RATIO * window.first + slack
+        room = self._measure_room(window)
         if hedge:
             room *= HEDGE_PART
         if window.extra + 1 > room:
@@ -90,6 +89,18 @@
         window.extra += 1
         return True
 
+    def measure_use(self, now_ms: float) -> float:
+        """Return the spent part of the budget of the service that spent the largest part."""
+        used = 0.0
+        for window in self._windows.values():
+            window.advance(now_ms, self._window_ms)
+            used = max(used, window.extra / max(1.0, self._measure_room(window)))
+        return used
+
+    def _measure_room(self, window: _Window) -> float:
+        slack = self._slack * USED_SLACK / max(1, self.instances)
+        return self._ratio * USED_RATIO * window.first + slack
+
 
 class ColdStartLimit:
     """Bounds requests per second to a cold endpoint over all instances.
--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -70,6 +70,16 @@
         """Failure domains whose endpoints get no requests."""
         return self._evacuated
 
+    def count_states(self, now_ms: float) -> dict[str, float]:
+        """Return the number of known endpoints, and of those in each state."""
+        counts = {"known": 0.0, "draining": 0.0, "evacuated": 0.0, "cold": 0.0}
+        for endpoint in self._known.values():
+            counts["known"] += 1
+            counts["draining"] += endpoint.draining
+            counts["evacuated"] += endpoint.failure_domain in self._evacuated
+            counts["cold"] += endpoint.cold_until_ms > now_ms
+        return counts
+
     def identities(self) -> frozenset[str]:
         """Return the identities of all known endpoints."""
         return frozenset(self._known)
--- a/src/persimmonspur/core/fleet/selection.py
+++ b/src/persimmonspur/core/fleet/selection.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
@@ -24,6 +24,9 @@
 ERROR_PENALTY = 10.0
 # The error rate of an endpoint that is not used falls with this time constant.
 ERROR_FORGET_MS = 4_000.0
+# An endpoint is suspected from this error rate on, until it answers below the lower one.
+SUSPECT_ERROR_RATE = 0.4
+TRUST_ERROR_RATE = 0.2
 FAILURE_BACKOFF_MS = 250.0
 FAILURE_BACKOFF_MAX_MS = 3_000.0
 # Expected latency of a replica in another failure domain relative to a local one.
@@ -39,6 +42,7 @@
 
     :param outstanding: start times of unanswered requests by attempt, oldest first.
     :param factor: latency relative to the typical one of the service.
+    :param suspected: whether it is avoided because it cannot be reached or fails often.
     """
 
     outstanding: dict[int, float] = field(factory=dict)
@@ -50,6 +54,7 @@
     error_rate: float = 0.0
     error_ms: float = 0.0
     failures: int = 0
+    suspected: bool = False
     blocked_until_ms: float = 0.0
 
 
@@ -59,7 +64,19 @@
     :ivar sharing: number of instances that send to the same endpoints.
     """
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        on_suspect: Callable[[str, str], None] = lambda identity, reason: None,
+    ) -> None:
+        """Know no endpoint yet.
+
+        :param failure_domain: of this instance.
+        :param on_suspect: told of an endpoint that is avoided from now on, with the reason,
+            or with an empty one when it is trusted again.
+        """
+        self._on_suspect = on_suspect
         self._failure_domain = failure_domain
         self._rng = rng
         self._states: dict[str, ReplicaState] = {}
@@ -145,7 +162,7 @@
         started_ms = state.outstanding.pop(attempt, now_ms)
         state.failures = 0
         state.blocked_until_ms = 0.0
-        _count_outcome(state, failed, now_ms)
+        self._count_outcome(identity, failed, now_ms)
         if not failed:
             self._sample(state, (now_ms - started_ms) / expected_ms, now_ms)
 
@@ -157,7 +174,7 @@
         """
         state = self.state(identity)
         state.outstanding.pop(attempt, None)
-        _count_outcome(state, True, now_ms)
+        self._count_outcome(identity, True, now_ms)
 
     def note_unreachable(self, identity: str, attempt: int, now_ms: float) -> None:
         """Take a refused connection, or one to another endpoint; the endpoint rests."""
@@ -166,12 +183,13 @@
         state.failures += 1
         rest_ms = min(FAILURE_BACKOFF_MAX_MS, FAILURE_BACKOFF_MS * 2 ** (state.failures - 1))
         state.blocked_until_ms = now_ms + rest_ms * (0.75 + 0.5 * self._rng.random())
+        self._suspect(identity, "unreachable")
 
     def note_rejected(self, identity: str, attempt: int, now_ms: float) -> None:
         """Take an answer that says the request did not run; the endpoint is full."""
         state = self.state(identity)
         state.outstanding.pop(attempt, None)
-        _count_outcome(state, True, now_ms)
+        self._count_outcome(identity, True, now_ms)
 
     def note_abandoned(
         self, identity: str, attempt: int, expected_ms: float, now_ms: float
@@ -199,6 +217,31 @@
             if identity not in identities and not self._states[identity].outstanding:
                 del self._states[identity]
 
+    def count_suspected(self) -> int:
+        """Return the number of endpoints that are avoided."""
+        return sum(state.suspected for state in self._states.values())
+
+    def count_outstanding(self) -> int:
+        """Return the number of unanswered requests."""
+        return sum(len(state.outstanding) for state in self._states.values())
+
+    def _suspect(self, identity: str, reason: str) -> None:
+        state = self.state(identity)
+        if not state.suspected:
+            state.suspected = True
+            self._on_suspect(identity, reason)
+
+    def _count_outcome(self, identity: str, failed: bool, now_ms: float) -> None:
+        state = self.state(identity)
+        rate = _fade_error_rate(state, now_ms)
+        state.error_rate = rate + ERROR_WEIGHT * (float(failed) - rate)
+        state.error_ms = now_ms
+        if failed and state.error_rate >= SUSPECT_ERROR_RATE:
+            self._suspect(identity, f"error rate {state.error_rate:.2f}")
+        elif not failed and state.suspected and state.error_rate < TRUST_ERROR_RATE:
+            state.suspected = False
+            self._on_suspect(identity, "")
+
     def _sample(self, state: ReplicaState, ratio: float, now_ms: float) -> None:
         ratio = min(ratio, SAMPLE_MAX)
         past = 1.0 + (state.factor - 1.0) * math.exp((state.sampled_ms - now_ms) / FORGET_MS)
@@ -208,9 +251,3 @@
 
 def _fade_error_rate(state: ReplicaState, now_ms: float) -> float:
     return state.error_rate * math.exp((state.error_ms - now_ms) / ERROR_FORGET_MS)
-
-
-def _count_outcome(state: ReplicaState, failed: bool, now_ms: float) -> None:
-    rate = _fade_error_rate(state, now_ms)
-    state.error_rate = rate + ERROR_WEIGHT * (float(failed) - rate)
-    state.error_ms = now_ms
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -65,6 +65,12 @@
 ENDPOINT_REMOVED = define_event(
     6204, "endpoint_removed", "INFO", "endpoint {endpoint} is gone: {reason}"
 )
+ENDPOINT_SUSPECTED = define_event(
+    6206, "endpoint_suspected", "INFO", "endpoint {endpoint} is avoided: {reason}"
+)
+ENDPOINT_TRUSTED = define_event(
+    6207, "endpoint_trusted", "INFO", "endpoint {endpoint} answers again"
+)
 EVACUATED = define_event(
     6205, "evacuated", "WARNING", "no requests to endpoints in {failure_domains}"
 )
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -95,7 +95,9 @@
             self._forget_removed_routes,
             RelayClient(RelayChoice(self.membership), clock, timers, self._note_source),
         )
-        self.selector = ReplicaSelector(identity.member.failure_domain, rng)
+        self.selector = ReplicaSelector(
+            identity.member.failure_domain, rng, self.observer.note_suspicion
+        )
         self.latencies = RouteLatencies()
         self.budget = RetryBudget(
             identity.retry_ratio, identity.retry_slack, identity.retry_window_ms
@@ -305,11 +307,11 @@
         )
         metrics.add_gauge(
             "persimmonspur_instance",
-            "Requests that run, client connections, known endpoints, live relays",
+            "Requests and sends that run, live relays, connections, lost log lines, stalls",
             "count",
             lambda: {
                 "requests": self.requests.running,
-                "endpoints": len(self.state.endpoints),
+                "sends": self.selector.count_outstanding(),
                 "relays": len(self.membership.live_relays(self.clock.now_ms())),
                 "endpoint_connections_opened": self.sender.count_opened(),
                 "log_lines_dropped": self.log.dropped,
@@ -317,6 +319,24 @@
             },
         )
 
+        metrics.add_gauge(
+            "persimmonspur_endpoints",
+            "Known endpoints, and how many of them are in each state",
+            "state",
+            self._count_endpoints,
+        )
+        metrics.add_gauge(
+            "persimmonspur_retry_budget_used_ratio",
+            "Spent part of this instance's share of the retry budget",
+            "scope",
+            lambda: {"fullest_service": self.budget.measure_use(self.clock.now_ms())},
+        )
+
+    def _count_endpoints(self) -> dict[str, float]:
+        counts = self.state.endpoints.count_states(self.clock.now_ms())
+        counts["suspected"] = self.selector.count_suspected()
+        return counts
+
     def _measure_store_ages(self) -> dict[str, float]:
         now_ms = self.clock.now_ms()
         return {feed.name: (now_ms - feed.reached_ms) / 1000 for feed in self.state.feeds}
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -39,6 +39,13 @@
         """Take a decision about one request."""
         self.log.record_request(events.DECISIONS[name], True, lambda: fields)
 
+    def note_suspicion(self, endpoint: str, reason: str) -> None:
+        """Take that an endpoint is avoided from now on, or trusted again without a reason."""
+        if reason:
+            self.log.record(events.ENDPOINT_SUSPECTED, endpoint=endpoint, reason=reason)
+        else:
+            self.log.record(events.ENDPOINT_TRUSTED, endpoint=endpoint)
+
     def note_finished(self, finished: FinishedRequest) -> None:
         """Take the end of a request."""
         answer = finished.answer
--- a/src/persimmonspur/entry/records.py
+++ b/src/persimmonspur/entry/records.py
@@ -110,18 +110,26 @@
 class EventLog:
     """Writes catalogued events as JSON lines."""
 
-    def __init__(self, instance: str, clock: Clock, writer: LineWriter) -> None:
+    def __init__(
+        self, instance: str, clock: Clock, writer: LineWriter, level: str = "INFO"
+    ) -> None:
+        """Write to a writer.
+
+        :param level: events below it are left out.
+        """
+        self._least = logger.level(level).no
         self._instance = instance
         self._clock = clock
         self._writer = writer
         self._routine = LineBudget(ROUTINE_LINES_PER_S, clock)
         self._failures = LineBudget(FAILURE_LINES_PER_S, clock)
         logger.remove()
-        logger.add(writer.write, level="INFO", format="{message}")
+        logger.add(writer.write, level=level, format="{message}")
 
     def record(self, event: EventType, **fields: Any) -> None:
         """Write one event of the process; always written."""
-        self._write(event, fields)
+        if self._is_written(event):
+            self._write(event, fields)
 
     def record_request(
         self, event: EventType, failed: bool, describe: Callable[[], dict[str, Any]]
@@ -131,6 +139,8 @@
         :param failed: whether the request, or a step of it, failed or was late.
         :param describe: returns the fields; not called for a line that is left out.
         """
+        if not self._is_written(event):
+            return
         budget = self._failures if failed else self._routine
         if not budget.take():
             return
@@ -153,6 +163,9 @@
         """Write what waits and drop all later lines."""
         self._writer.close()
 
+    def _is_written(self, event: EventType) -> bool:
+        return logger.level(event.level).no >= self._least
+
     def _write(self, event: EventType, fields: dict[str, Any]) -> None:
         line = {
             "wall_ms": round(self._clock.wall_ms()),
@@ -166,6 +179,9 @@
         logger.log(event.level, "{}", msgspec.json.encode(line).decode())
 
 
-def open_log(instance: str, clock: Clock) -> EventLog:
-    """Open the log on standard output."""
-    return EventLog(instance, clock, LineWriter(sys.stdout.fileno()))
+def open_log(instance: str, clock: Clock, level: str) -> EventLog:
+    """Open the log on standard output.
+
+    :param level: events below it are left out.
+    """
+    return EventLog(instance, clock, LineWriter(sys.stdout.fileno()), level)
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -236,6 +236,7 @@
                     service=endpoint.service,
                     address=endpoint.address,
                     draining=endpoint.draining,
+                    cold_ms=max(0, round(endpoint.cold_until_ms - self._clock.now_ms())),
                     revision=updates.revision,
                 )
         self._remove_endpoints(removed, after_outage)
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -16,6 +16,7 @@
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.instance import Codecs, EntryInstance, Identity
 from persimmonspur.entry.metrics import format_metrics
+from persimmonspur.entry.options import EntryOptions, read_options
 from persimmonspur.entry.records import EventLog, open_log
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.entry.run import Surface, run_entry
@@ -43,8 +44,6 @@
 READY_PATH = "/-/ready"
 RESOLVE_PATH = "/-/resolve"
 METRICS_PATH = "/metrics"
-# Address on which metrics are served; without it they are not.
-METRICS_VARIABLE = "PERSIMMONSPUR_METRICS_ADDRESS"
 # How long clients keep an answer about addresses.
 KEEP_MS = 2_000.0
 
@@ -97,12 +96,14 @@
     """
     path = os.environ.get(SETTINGS_VARIABLE, "")
     loaded = load_entry_settings(path)
-    if loaded.is_error():
-        sys.stderr.write(loaded.error.message + "\n")
+    read = read_options(os.environ)
+    faults = [result.error.message for result in (loaded, read) if result.is_error()]
+    if faults:
+        sys.stderr.write("\n".join(faults) + "\n")
         return ANSWERS[ErrorKind.INVALID_SETTINGS].exit_code
-    settings = loaded.ok
+    settings, options = loaded.ok, read.ok
     clock = Clock()
-    log = open_log(settings.instance, clock)
+    log = open_log(settings.instance, clock, options.log_level)
     instance = build_instance(settings, clock, log)
     watch = SettingsWatch(path, settings, log)
 
@@ -111,11 +112,14 @@
         if changed is not None:
             instance.budget.set_limits(changed.retry_ratio, changed.retry_slack)
 
-    log.record(entry_events.SETTINGS_IN_EFFECT, settings=attrs.asdict(settings))
-    return run_entry(instance, build_surfaces(instance, settings), reload)
+    in_effect = attrs.asdict(settings) | attrs.asdict(options)
+    log.record(entry_events.SETTINGS_IN_EFFECT, settings=in_effect)
+    return run_entry(instance, build_surfaces(instance, settings, options), reload)
 
 
-def build_surfaces(instance: EntryInstance, settings: EntrySettings) -> list[Surface]:
+def build_surfaces(
+    instance: EntryInstance, settings: EntrySettings, options: EntryOptions
+) -> list[Surface]:
     """Return what is served besides requests."""
     ready = ReadySurface(READY_PATH, lambda: instance.ready)
     resolve = ResolveSurface(RESOLVE_PATH, lambda: format_addresses(instance, settings))
@@ -123,12 +127,10 @@
         Surface(settings.ready_address, ready),
         Surface(settings.resolve_address, resolve),
     ]
-    address = os.environ.get(METRICS_VARIABLE, "")
-    if address:
+    if options.metrics_address:
         metrics = instance.observer.metrics
-        surfaces.append(
-            Surface(address, MetricsSurface(METRICS_PATH, lambda: format_metrics(metrics)))
-        )
+        surface = MetricsSurface(METRICS_PATH, lambda: format_metrics(metrics))
+        surfaces.append(Surface(options.metrics_address, surface))
     return surfaces
 
 
--- a/src/persimmonspur/platform/settings.py
+++ b/src/persimmonspur/platform/settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for each process."""
 
 from pathlib import Path
+from typing import Any
 
 import msgspec
 from attrs import frozen
@@ -85,37 +86,66 @@
     """Read the settings file; unknown fields are ignored.
 
     :param path: of the file.
+    :returns: the settings, or all faults of the file in one message.
     """
     try:
-        document = msgspec.json.decode(Path(path).read_bytes(), type=_Document)
+        content = msgspec.json.decode(Path(path).read_bytes(), type=dict[str, Any])
     except OSError as error:
-        return Error(_describe(path, f"cannot be read: {error}"))
+        return Error(_describe(path, [f"cannot be read: {error}"]))
     except msgspec.DecodeError as error:
-        return Error(_describe(path, str(error)))
+        return Error(_describe(path, [str(error)]))
+    sections, faults = _read_sections(content)
+    if not faults:
+        document = _Document(**sections)
+        faults = _list_missing_addresses(document.listen)
+    if faults:
+        return Error(_describe(path, faults))
+    return Ok(_build_settings(document))
+
+
+def _read_sections(content: dict[str, Any]) -> tuple[dict[str, Any], list[str]]:
+    """Decode each field of the file on its own, so that one fault does not hide others."""
+    sections = {}
+    faults = []
+    for section in msgspec.structs.fields(_Document):
+        if section.name not in content:
+            if section.required:
+                faults.append(f"{section.name}: missing")
+            continue
+        try:
+            sections[section.name] = msgspec.convert(content[section.name], section.type)
+        except msgspec.ValidationError as error:
+            faults.append(f"{section.name}: {error}")
+    return sections, faults
+
+
+def _list_missing_addresses(listen: _Listen) -> list[str]:
+    addresses = {"front": listen.front, "ready": listen.ready, "directory": listen.directory}
+    return [f"listen.{name}: missing" for name, address in addresses.items() if address is None]
+
+
+def _build_settings(document: _Document) -> EntrySettings:
     listen = document.listen
-    if listen.front is None or listen.ready is None or listen.directory is None:
-        return Error(_describe(path, "listen lacks front, ready or directory"))
     bounds = document.bounds
-    return Ok(
-        EntrySettings(
-            document.node,
-            document.zone,
-            document.region,
-            listen.front,
-            listen.ready,
-            listen.directory,
-            f"{document.ip}:{document.port_range[0]}",
-            document.platform.addr,
-            bounds.grace_s * 1000,
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            bounds.retry_window_s * 1000,
-            bounds.ttl_max_s * 1000,
-            document.limits.cpu_share * document.limits.cores,
-            document.limits.link_mbps,
-        )
+    return EntrySettings(
+        document.node,
+        document.zone,
+        document.region,
+        listen.front or "",
+        listen.ready or "",
+        listen.directory or "",
+        f"{document.ip}:{document.port_range[0]}",
+        document.platform.addr,
+        bounds.grace_s * 1000,
+        bounds.retry_ratio,
+        bounds.retry_slack,
+        bounds.retry_window_s * 1000,
+        bounds.ttl_max_s * 1000,
+        document.limits.cpu_share * document.limits.cores,
+        document.limits.link_mbps,
     )
 
 
-def _describe(path: str, reason: str) -> Failure:
-    return Failure.of(ErrorKind.INVALID_SETTINGS, f"settings file {path}: {reason}")
+def _describe(path: str, faults: list[str]) -> Failure:
+    message = f"settings file {path}: " + "; ".join(faults)
+    return Failure.of(ErrorKind.INVALID_SETTINGS, message)
--- a/tests/core/fleet/test_budget.py
+++ b/tests/core/fleet/test_budget.py
@@ -93,3 +93,12 @@
 def test_cold_limit_of_zero_is_unlimited():
     limit = ColdStartLimit("i")
     assert all(limit.take("endpoint", 0.0, 0.0) for _ in range(100))
+
+
+def test_use_of_the_budget_is_that_of_the_fullest_service():
+    budget = RetryBudget(0.0, 20.0, 10_000.0)
+    for _ in range(5):
+        budget.take("a", 0.0, hedge=False)
+    budget.take("b", 0.0, hedge=False)
+    assert budget.measure_use(0.0) == 0.5
+    assert budget.measure_use(20_000.0) == 0.0
--- a/tests/core/fleet/test_selection.py
+++ b/tests/core/fleet/test_selection.py
@@ -92,3 +92,22 @@
     selector.note_load("e1", 1, 1, 0.0)
     selector.forget(frozenset())
     assert list(selector._states) == ["e0"]
+
+
+def test_suspicion_is_told_once_and_taken_back():
+    # Guards against logs that do not show when an endpoint was left, or that say it again
+    # with each failure.
+    told = []
+    selector = ReplicaSelector("d0", random.Random(1), lambda *fields: told.append(fields))
+    for attempt in range(5):
+        selector.note_sent("e0", attempt, 0.0)
+        selector.note_broken("e0", attempt, 1.0)
+    selector.note_sent("e1", 9, 0.0)
+    selector.note_unreachable("e1", 9, 1.0)
+    assert [identity for identity, _ in told] == ["e0", "e1"]
+    assert selector.count_suspected() == 2
+    for attempt in range(10, 20):
+        selector.note_sent("e0", attempt, 10.0)
+        selector.note_answered("e0", attempt, EXPECTED_MS, False, 20.0)
+    assert told[2:] == [("e0", "")]
+    assert selector.count_suspected() == 1
--- a/tests/entry/test_records.py
+++ b/tests/entry/test_records.py
@@ -58,3 +58,13 @@
     writer.write("second\n")
     gevent.sleep(0.1)
     assert os.read(reading, 100) == b"first\n"
+
+
+def test_events_below_the_level_are_left_out():
+    reading, writer, _writing = open_pipe()
+    log = EventLog("instance-1", Clock(), writer, "WARNING")
+    log.record(events.STORE_REGAINED, feed="endpoints")
+    log.record(events.STORE_CALL_FAILED, feed="endpoints")
+    writer.flush()
+    lines = os.read(reading, 10_000).splitlines()
+    assert [json.loads(line)["name"] for line in lines] == ["store_call_failed"]
