--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -7,6 +7,7 @@
 import gevent
 from attrs import frozen
 from expression import Result
+from gevent.event import Event
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.history import Batch, ChangeHistory
@@ -78,6 +79,7 @@
     :ivar reached_ms: local time of the last successful call.
     :ivar history: recent changes, for instances that follow this one.
     :ivar on_change: called when changes were applied, or calls begin to fail.
+    :ivar on_regained: called with the first successful call after failures.
     """
 
     def __init__(
@@ -116,6 +118,8 @@
         self.reached_ms = 0.0
         self.history: ChangeHistory[T] = ChangeHistory()
         self.on_change: Callable[[], None] | None = None
+        self.on_regained: Callable[[], None] | None = None
+        self._hurried = Event()
 
     @property
     def covered(self) -> int:
@@ -141,6 +145,10 @@
             self._greenlet.kill(block=False)
             self._greenlet = None
 
+    def hurry(self) -> None:
+        """End the wait after a failed call, since the store answers again."""
+        self._hurried.set()
+
     def restart(self) -> None:
         """Call the store anew because the present call may never be answered."""
         self.stop()
@@ -207,10 +215,13 @@
         if self._backoff_ms:
             self._backoff_ms = 0.0
             self._recovered_ms = self.reached_ms
+            if self.on_regained is not None:
+                self.on_regained()
         self._on_store(self.name, None)
 
     def _back_off(self, failure: Failure) -> None:
         self._on_store(self.name, failure)
         self._backoff_ms = min(BACKOFF_MAX_MS, max(BACKOFF_FIRST_MS, self._backoff_ms * 2))
         self._tell()
-        gevent.sleep(self._backoff_ms * (0.5 + self._rng.random()) / 1000)
+        self._hurried.clear()
+        self._hurried.wait(self._backoff_ms * (0.5 + self._rng.random()) / 1000)
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -120,6 +120,8 @@
             self.endpoint_feed,
             self.evacuation_feed,
         )
+        for feed in self.feeds:
+            feed.on_regained = self._hurry_feeds
         self._lags = {feed.name: LagDetector() for feed in self.feeds}
         self.relay_surface = RelaySurface(
             {
@@ -149,6 +151,10 @@
         for feed in self.feeds:
             feed.stop()
 
+    def _hurry_feeds(self) -> None:
+        for feed in self.feeds:
+            feed.hurry()
+
     def get_client_limits(self) -> ClientLimits:
         """Return what clients may send."""
         table = self.routes.table
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -125,3 +125,19 @@
     assert source.timeouts[0] <= 400
     assert source.timeouts == sorted(source.timeouts)
     assert source.timeouts[-1] >= 1_500
+
+
+def test_wait_after_a_failure_ends_when_the_store_answers_another_feed(follow, monkeypatch):
+    # Guards against an instance that starts while the store is away and then serves later
+    # than it could, because each feed waits for its own next try.
+    monkeypatch.setattr(feeds, "BACKOFF_FIRST_MS", 60_000.0)
+    monkeypatch.setattr(feeds, "BACKOFF_MAX_MS", 60_000.0)
+    source, taken, _ = follow(fail(), Ok(Snapshot({}, 10)))
+    told = []
+    source.feed.on_regained = lambda: told.append(source.calls[-1])
+    assert source.calls == ["list"]
+    source.feed.hurry()
+    gevent.sleep(0.02)
+    assert source.calls == ["list", "list", 10]
+    assert len(taken) == 1
+    assert told == ["list"]
