Remove the claims of non-repeatable requests

Claims let a caller repeat an id whose outcome it did not know: 32 partitions per cell with owners, hand-over, write-behind, an epoch rule and a hop for each such request. The users' callers give each attempt an id of its own and run nothing of ours, so no such repeat exists. A non-repeatable request is sent once by its coordinator, and again only after a certain rejection; the owner of the endpoint still ignores repeated messages.

Gone: core/claims, its controller, filter, capacity measure, metrics, the error kind stale_epoch, and the tests of these. The fields epoch and first_attempt of a query are accepted and ignored. Tests that replace others: a killed coordinator's requests run at most once (was: a killed claim owner's); the client library does not send a request of unknown outcome again (was: it repeats the id and the epoch); cells without claims are counted by checks_per_s (was: claim_writes_per_s).

--- a/src/persimmonspur/core/ownership/placement.py
+++ b/src/persimmonspur/core/ownership/placement.py
@@ -1,4 +1,4 @@
-"""Assigns budgets and claim partitions to members."""
+"""Assigns budgets to members."""
 
 import math
 from collections.abc import Mapping, Sequence
--- a/src/persimmonspur/daemon/run.py
+++ b/src/persimmonspur/daemon/run.py
@@ -20,10 +20,9 @@
 from persimmonspur.adapters.objectapi import HttpObjectApi
 from persimmonspur.clock import Clock
 from persimmonspur.daemon import events
-from persimmonspur.daemon.controllers import cell, claims, configuration, endpoints, queries
+from persimmonspur.daemon.controllers import cell, configuration, endpoints, queries
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Controller
 from persimmonspur.daemon.filters import admission, standard
-from persimmonspur.daemon.filters import claims as claim_filter
 from persimmonspur.daemon.http import KEEP_MS, HttpSurface
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.daemon.lifecycle import Phase
@@ -42,7 +41,7 @@
 LINGER_MS = 100.0
 
 # Imported so that their parts register themselves.
-_REGISTERED = (cell, claims, configuration, endpoints, queries, admission, claim_filter, standard)
+_REGISTERED = (cell, configuration, endpoints, queries, admission, standard)
 
 
 class ServeCommand(Command):
@@ -192,7 +191,7 @@
 
 
 def _is_busy(instance: Instance) -> bool:
-    return bool(instance.queries.running) or instance.endpoints.busy or instance.claims.busy
+    return bool(instance.queries.running) or instance.endpoints.busy
 
 
 def _wait_for_connections(instance: Instance, server: NoDelayServer, surface: HttpSurface) -> None:
