Let imports of the daemon go one way

instance.py and the controllers imported each other in a circle of eight files, hidden by TYPE_CHECKING. What controllers offer each other is a set of protocols now.

--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -16,13 +16,13 @@
 from persimmonspur.core.ownership.rendezvous import hash_key
 from persimmonspur.daemon import events
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Handler, PeerMessage
+from persimmonspur.daemon.controllers.roles import EndpointDescription
 from persimmonspur.daemon.controllers.statuses import StatusPublisher
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.errors import ErrorKind, Ran
 from persimmonspur.model.configuration import Endpoint, Service
 from persimmonspur.model.messages import (
     Cancel,
-    EndpointStatus,
     Release,
     ReleasedBudget,
     SubReply,
@@ -51,18 +51,6 @@
     endpoint: str
 
 
-@frozen
-class EndpointDescription:
-    """An owned endpoint as operators see it.
-
-    :param reason: why it is in its state, in one line.
-    """
-
-    name: str
-    status: EndpointStatus
-    reason: str
-
-
 @CONTROLLERS.register("endpoints")
 class EndpointController:
     """Connects :class:`EndpointGate` with the endpoint calls and the peers."""
--- a/src/persimmonspur/daemon/instance.py
+++ b/src/persimmonspur/daemon/instance.py
@@ -10,6 +10,12 @@
 from persimmonspur.core.routing.view import RoutingView
 from persimmonspur.daemon.admission import AdmissionDesk
 from persimmonspur.daemon.controllers.registry import Controller, Handler, PeerMessage
+from persimmonspur.daemon.controllers.roles import (
+    CellRole,
+    ConfigurationRole,
+    EndpointRole,
+    QueryRole,
+)
 from persimmonspur.daemon.lifecycle import Phase
 from persimmonspur.daemon.metrics import Metrics
 from persimmonspur.daemon.settings import Settings
@@ -22,19 +28,15 @@
 
 if TYPE_CHECKING:
     from persimmonspur.clock import Clock
-    from persimmonspur.daemon.controllers.cell import CellController
-    from persimmonspur.daemon.controllers.configuration import ConfigurationController
-    from persimmonspur.daemon.controllers.endpoints import EndpointController
-    from persimmonspur.daemon.controllers.queries import QueryController
 
 
 class Instance:
     """Holds the parts of one instance and routes messages between them."""
 
-    cells: "CellController"
-    configurations: "ConfigurationController"
-    endpoints: "EndpointController"
-    queries: "QueryController"
+    cells: CellRole
+    configurations: ConfigurationRole
+    endpoints: EndpointRole
+    queries: QueryRole
     transport: PeerTransport
     controllers: dict[str, Controller]
 
@@ -90,10 +92,10 @@
         :param controllers: by registered name.
         """
         self.controllers = controllers
-        self.cells = cast("CellController", controllers["cell"])
-        self.configurations = cast("ConfigurationController", controllers["configuration"])
-        self.endpoints = cast("EndpointController", controllers["endpoints"])
-        self.queries = cast("QueryController", controllers["queries"])
+        self.cells = cast(CellRole, controllers["cell"])
+        self.configurations = cast(ConfigurationRole, controllers["configuration"])
+        self.endpoints = cast(EndpointRole, controllers["endpoints"])
+        self.queries = cast(QueryRole, controllers["queries"])
 
     @property
     def ready(self) -> bool:
