Forget the past of an endpoint that started again; drop fields that nothing reads

An endpoint that returned under its id with a new start time still rested, or was avoided, for the failures of its last process. The store's 404 has an error kind of its own: it was reported as an unknown service.

--- a/src/persimmonspur/core/fleet/routes.py
+++ b/src/persimmonspur/core/fleet/routes.py
@@ -70,14 +70,11 @@
     """Limits of one service's endpoints.
 
     :param max_connections: connections that one endpoint accepts from all instances.
-    :param cold_ms: how long an endpoint stays cold after its start.
     :param cold_per_s: requests per second that a cold endpoint bears; 0 is unlimited.
     """
 
     name: str
-    health_path: str
     max_connections: int
-    cold_ms: float
     cold_per_s: float
 
 
--- a/src/persimmonspur/core/fleet/selection.py
+++ b/src/persimmonspur/core/fleet/selection.py
@@ -41,11 +41,13 @@
     """What this instance knows of one endpoint.
 
     :param outstanding: start times of unanswered requests by attempt, oldest first.
+    :param born_ms: start of the endpoint's process that the state is about.
     :param factor: latency relative to the typical one of the service.
     :param suspected: whether it is avoided because it cannot be reached or fails often.
     """
 
     outstanding: dict[int, float] = field(factory=dict)
+    born_ms: int = 0
     factor: float = 1.0
     sampled_ms: float = 0.0
     others_load: float = 0.0
@@ -107,7 +109,7 @@
         return best
 
     def _score(self, endpoint: Endpoint, expected_ms: float, now_ms: float) -> float:
-        state = self.state(endpoint.identity)
+        state = self._find_state(endpoint)
         if now_ms < state.blocked_until_ms:
             return math.inf
         factor = 1.0 + (state.factor - 1.0) * math.exp((state.sampled_ms - now_ms) / FORGET_MS)
@@ -126,6 +128,19 @@
             score *= REMOTE_FACTOR
         return score * (1.0 + JITTER * self._rng.random())
 
+    def _find_state(self, endpoint: Endpoint) -> ReplicaState:
+        """Return the state of an endpoint; one that started again has no past failures."""
+        state = self.state(endpoint.identity)
+        if state.born_ms == endpoint.born_ms:
+            return state
+        if state.born_ms:
+            if state.suspected:
+                self._on_suspect(endpoint.identity, "")
+            state = ReplicaState(state.outstanding)
+            self._states[endpoint.identity] = state
+        state.born_ms = endpoint.born_ms
+        return state
+
     def has_room(
         self, endpoint: Endpoint, expected_ms: float, wait_ms: float, now_ms: float
     ) -> bool:
--- a/src/persimmonspur/errors.py
+++ b/src/persimmonspur/errors.py
@@ -34,6 +34,7 @@
     INVALID_CONFIGURATION = "invalid_configuration"
     INVALID_SETTINGS = "invalid_settings"
     CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
     STORE_UNAVAILABLE = "store_unavailable"
     UNREACHABLE = "unreachable"
     INTERNAL = "internal"
@@ -74,6 +75,7 @@
     ErrorKind.INVALID_CONFIGURATION: Response(400, Ran.NO, 18, retry=False),
     ErrorKind.INVALID_SETTINGS: Response(400, Ran.NO, 19, retry=False),
     ErrorKind.CONFLICT: Response(409, Ran.NO, 20, retry=False),
+    ErrorKind.NOT_FOUND: Response(404, Ran.NO, 23, retry=False),
     ErrorKind.STORE_UNAVAILABLE: Response(503, Ran.UNKNOWN, 21, retry=True),
     ErrorKind.UNREACHABLE: Response(503, Ran.UNKNOWN, 22, retry=True),
     ErrorKind.INTERNAL: Response(500, Ran.UNKNOWN, 1, retry=False),
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -46,9 +46,7 @@
 
 class _Service(msgspec.Struct):
     name: str
-    health_path: str = "/health"
     max_conns: int = 64
-    cold_s: float = 0.0
     # Requests per second that an endpoint bears while cold; 0 sets no bound.
     cold_per_s: float = 0.0
 
@@ -111,9 +109,7 @@
     for service in document.services:
         services[service.name] = ServiceLimits(
             service.name,
-            service.health_path,
             service.max_conns,
-            service.cold_s * 1000,
             service.cold_per_s,
         )
     limits = ClientLimits(
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -128,7 +128,7 @@
         """Replace an object, or create it if there is none."""
         body = msgspec.json.encode({"meta": {"name": name}, "spec": spec})
         replaced = self._call("PUT", f"/-/objects/{kind}/{quote(name)}", body, CALL_TIMEOUT_MS)
-        if replaced.is_ok() or replaced.error.kind is not ErrorKind.UNKNOWN_SERVICE:
+        if replaced.is_ok() or replaced.error.kind is not ErrorKind.NOT_FOUND:
             return replaced.map(_drop)
         return self._call("POST", f"/-/objects/{kind}", body, CALL_TIMEOUT_MS).map(_drop)
 
@@ -147,7 +147,7 @@
         if 200 <= response.status < 300:
             return Ok(response.body)
         kinds = {
-            404: ErrorKind.UNKNOWN_SERVICE,
+            404: ErrorKind.NOT_FOUND,
             409: ErrorKind.CONFLICT,
             HISTORY_GONE: ErrorKind.CONFLICT,
         }
--- a/tests/core/fleet/test_selection.py
+++ b/tests/core/fleet/test_selection.py
@@ -1,6 +1,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.selection import FAILURE_BACKOFF_MAX_MS, ReplicaSelector
@@ -111,3 +112,16 @@
         selector.note_answered("e0", attempt, EXPECTED_MS, False, 20.0)
     assert told[2:] == [("e0", "")]
     assert selector.count_suspected() == 1
+
+
+def test_endpoint_that_started_again_has_no_past(selector):
+    # Guards against an endpoint that returned and still rests for what its last process did.
+    before = evolve(LOCAL, born_ms=1)
+    selector.pick((before,), EXPECTED_MS, 0.0)
+    for attempt in range(5):
+        selector.note_sent("e0", attempt, 0.0)
+        selector.note_unreachable("e0", attempt, 0.0)
+    assert selector.pick((before,), EXPECTED_MS, 1.0) is None
+    after = evolve(LOCAL, born_ms=2)
+    assert selector.pick((after,), EXPECTED_MS, 1.0) is after
+    assert selector.count_suspected() == 0
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -200,7 +200,7 @@
         self.counts[name] += 1
 
     def add_service(self, service, replicas=3, cold_per_s=0.0, **fields):
-        self.services[service] = ServiceLimits(service, "/health", 76, 3_000.0, cold_per_s)
+        self.services[service] = ServiceLimits(service, 76, cold_per_s)
         for index in range(replicas):
             self.endpoints.put(
                 Endpoint(
