--- a/src/persimmonspur/core/fleet/budget.py
+++ b/src/persimmonspur/core/fleet/budget.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from persimmonspur.core.ownership.rendezvous import rank_candidates
+from persimmonspur.core.rendezvous import rank_candidates
 
 BUCKET_MS = 500.0
 # Part of the fleet's ratio that instances use; the rest covers windows that slide
--- a/src/persimmonspur/core/fleet/relays.py
+++ b/src/persimmonspur/core/fleet/relays.py
@@ -2,7 +2,7 @@
 
 from persimmonspur.core.fleet.members import Membership
 from persimmonspur.core.fleet.roles import Member
-from persimmonspur.core.ownership.rendezvous import rank_candidates
+from persimmonspur.core.rendezvous import rank_candidates
 
 # A relay that failed, or fell behind, is not followed for this long.
 REST_MS = 5_000.0
--- a/src/persimmonspur/core/fleet/roles.py
+++ b/src/persimmonspur/core/fleet/roles.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from persimmonspur.core.ownership.rendezvous import rank_candidates
+from persimmonspur.core.rendezvous import rank_candidates
 
 # Link that the requests of one busy core fill, with answers of about 1 KB from each shard.
 LINK_MBPS_PER_CORE = 40.0
--- a/src/persimmonspur/core/membership/roster.py
+++ b/src/persimmonspur/core/membership/roster.py
@@ -6,8 +6,8 @@
 from persimmonspur.core.membership.holddown import Holddown
 from persimmonspur.core.membership.termination import TerminationLog
 from persimmonspur.core.ownership.proposal import Evidence
-from persimmonspur.core.ownership.rendezvous import rank_candidates
 from persimmonspur.core.ownership.table import CellTable
+from persimmonspur.core.rendezvous import rank_candidates
 from persimmonspur.model.configuration import Configuration, Desired
 from persimmonspur.model.member import Member, MemberState
 from persimmonspur.model.messages import Heartbeat
--- a/src/persimmonspur/core/ownership/placement.py
+++ b/src/persimmonspur/core/ownership/placement.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from persimmonspur.core.ownership.rendezvous import rank_candidates
+from persimmonspur.core.rendezvous import rank_candidates
 from persimmonspur.model.member import Member
 
 # Highest and lowest load of an owner relative to its share of the mean.
--- a/src/persimmonspur/daemon/controllers/configuration.py
+++ b/src/persimmonspur/daemon/controllers/configuration.py
@@ -20,7 +20,7 @@
     Retrieval,
     RetrievalAction,
 )
-from persimmonspur.core.ownership.rendezvous import rank_candidates
+from persimmonspur.core.rendezvous import rank_candidates
 from persimmonspur.daemon import events
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Handler, PeerMessage
 from persimmonspur.daemon.instance import Instance
--- a/src/persimmonspur/daemon/controllers/endpoints.py
+++ b/src/persimmonspur/daemon/controllers/endpoints.py
@@ -13,7 +13,7 @@
 )
 from persimmonspur.core.endpoints.gate import EndpointGate
 from persimmonspur.core.ownership.actions import ReleaseBudgets
-from persimmonspur.core.ownership.rendezvous import hash_key
+from persimmonspur.core.rendezvous import hash_key
 from persimmonspur.daemon import events
 from persimmonspur.daemon.controllers.registry import CONTROLLERS, Handler, PeerMessage
 from persimmonspur.daemon.controllers.roles import EndpointDescription
--- a/src/persimmonspur/standins/dataset.py
+++ b/src/persimmonspur/standins/dataset.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from persimmonspur.core.ownership.rendezvous import hash_key
+from persimmonspur.core.rendezvous import hash_key
 from persimmonspur.model.configuration import KEY_SPACE_UNITS
 
 RECORDS = 256
