Register as soon as the store answers any feed again

Cause: after an outage in which all instances started again, each waited up to 2 s for its next try to register and to list the others. Until then it knows nobody and names itself alone to callers, so callers spread over all instances and each holds the smallest shares. The first feed that is answered now ends these waits too.

--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -192,11 +192,15 @@
         delay_ms = REGISTER_RETRY_MS
         while registered.is_error() and not self.leaving:
             self.observer.note_store_call("registration", registered.error)
-            gevent.sleep(delay_ms / 1000)
+            self._wait_for_store(delay_ms)
             delay_ms = min(REGISTER_RETRY_MAX_MS, delay_ms * 2)
             registered = self._sources.registry.register(self.identity.member)
         self._list_members()
 
+    def _wait_for_store(self, longest_ms: float) -> None:
+        self.state.regained.clear()
+        self.state.regained.wait(longest_ms / 1000)
+
     def _list_members(self) -> None:
         """Learn who is registered, now and then again.
 
@@ -209,10 +213,11 @@
             self.observer.note_store_call("members", listed.error if listed.is_error() else None)
             if listed.is_ok():
                 self._take_members(listed.ok.items)
-                delay_ms = LIST_MEMBERS_MS
-            else:
-                delay_ms = min(REGISTER_RETRY_MAX_MS, delay_ms * 2)
-            gevent.sleep(delay_ms / 1000)
+                delay_ms = REGISTER_RETRY_MS
+                gevent.sleep(LIST_MEMBERS_MS / 1000)
+                continue
+            self._wait_for_store(delay_ms)
+            delay_ms = min(REGISTER_RETRY_MAX_MS, delay_ms * 2)
 
     def _take_members(self, members: dict[str, Member]) -> None:
         now_ms = self.clock.now_ms()
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -7,6 +7,7 @@
 import gevent
 from attrs import frozen
 from expression import Result
+from gevent.event import Event
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import RETURN_MS, Endpoint, EndpointDirectory
@@ -105,6 +106,8 @@
             rng,
             ENDPOINT_PAUSE_MS,
         )
+        # Set when the store answers again; those who wait for it clear it first.
+        self.regained = Event()
         self._evacuated: set[str] = set()
         self.evacuation_feed: Feed[str] = Feed(
             EVACUATIONS,
@@ -121,7 +124,7 @@
             self.evacuation_feed,
         )
         for feed in self.feeds:
-            feed.on_regained = self._hurry_feeds
+            feed.on_regained = self._hurry
         self._lags = {feed.name: LagDetector() for feed in self.feeds}
         self.relay_surface = RelaySurface(
             {
@@ -151,9 +154,11 @@
         for feed in self.feeds:
             feed.stop()
 
-    def _hurry_feeds(self) -> None:
+    def _hurry(self) -> None:
+        """End all waits for the store, since it answered one feed."""
         for feed in self.feeds:
             feed.hurry()
+        self.regained.set()
 
     def get_client_limits(self) -> ClientLimits:
         """Return what clients may send."""
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -17,6 +17,7 @@
 )
 
 from persimmonspur.clock import Clock
+from persimmonspur.entry import instance as entry_instance
 from persimmonspur.entry.records import EventLog, LineWriter
 from persimmonspur.platform.run import build_instance, format_addresses
 from persimmonspur.platform.settings import EntrySettings
@@ -397,3 +398,16 @@
     first.instance.state.endpoint_feed.newest += 1
     first.instance.state._take_peer_state(first.instance.identity.member)
     assert first.instance.state.routes.table.version == 5
+
+
+def test_registration_follows_as_soon_as_the_store_answers(deployment, monkeypatch):
+    # Guards against instances that know nobody for seconds after an outage in which all
+    # started again: each then names itself alone to callers.
+    monkeypatch.setattr(entry_instance, "REGISTER_RETRY_MS", 60_000.0)
+    monkeypatch.setattr(entry_instance, "REGISTER_RETRY_MAX_MS", 60_000.0)
+    deployment.store.down = True
+    deployment.start()
+    assert "entry-instances" not in deployment.store.objects
+    deployment.store.down = False
+    gevent.sleep(1.5)
+    assert "front-1" in deployment.store.objects["entry-instances"]
