--- a/src/persimmonspur/core/fleet/members.py
+++ b/src/persimmonspur/core/fleet/members.py
@@ -172,6 +172,11 @@
         return frozenset(names)
 
     def _await_heartbeats(self, now_ms: float) -> None:
+        """Start to wait for the relays that have sent nothing yet.
+
+        One that was awaited in vain stays silent until it is heard, also once others
+        have taken its place.
+        """
         chosen = {relay.name for relay in self._relays}
         for name, state in self._states.items():
             if state.interval_ms != NO_HEARTBEATS:
