--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -45,14 +45,9 @@
         self._known: dict[str, Endpoint] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._missing_since: dict[str, float] = {}
-        self._unreachable_store = False
         self._usable: dict[str, tuple[Endpoint, ...]] = {}
         self.known_once = False
 
-    def __len__(self) -> int:
-        """Return the number of known endpoints."""
-        return len(self._known)
-
     def usable(self, service: str) -> tuple[Endpoint, ...]:
         """Return the endpoints of a service that may get new requests."""
         return self._usable.get(service, ())
--- a/src/persimmonspur/entry/calls.py
+++ b/src/persimmonspur/entry/calls.py
@@ -13,10 +13,7 @@
 
 
 class HttpCaller:
-    """Calls one address over kept connections.
-
-    :ivar calls: number of calls so far.
-    """
+    """Calls one address over kept connections."""
 
     def __init__(self, address: str, clock: Clock, timers: Timers) -> None:
         """Connect lazily.
@@ -25,7 +22,6 @@
         """
         self._address = address
         self._pool = ConnectionPool(address, CONNECTIONS, clock, timers)
-        self.calls = 0
 
     def call(
         self, method: str, path: str, body: bytes, timeout_ms: float
@@ -35,7 +31,6 @@
         :param timeout_ms: longest wait.
         :returns: any response, whatever its status.
         """
-        self.calls += 1
         outcome: AsyncResult[Result[HttpResponse, Failure]] = AsyncResult()
         call = Call(
             self._format(method, path, body),
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -80,8 +80,6 @@
         self._timer.start(self._tick)
         self._sent = OwnState(False, Revisions(0, 0, 0), NO_HEARTBEATS)
         self._ticks = 0
-        self.sent = 0
-        self.undelivered = 0
 
     def send(self) -> None:
         """Send a heartbeat to every other instance now."""
@@ -105,10 +103,9 @@
         for peer in self._membership.peers():
             try:
                 self._sock.sendto(data, split_address(peer.peer_address))
-                self.sent += 1
             except OSError:
                 # A full buffer or an unreachable network; the next heartbeat follows.
-                self.undelivered += 1
+                continue
 
     def close(self) -> None:
         """Stop."""
@@ -136,7 +133,7 @@
             try:
                 heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
             except msgspec.DecodeError:
-                self.undelivered += 1
+                # Of another version; its sender counts as silent.
                 continue
             member = Member(
                 heartbeat.name,
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -323,7 +323,6 @@
                 "stalled_ms": self._stall_ms,
             },
         )
-
         metrics.add_gauge(
             "persimmonspur_endpoints",
             "Known endpoints, and how many of them are in each state",
--- a/src/persimmonspur/entry/responses.py
+++ b/src/persimmonspur/entry/responses.py
@@ -15,14 +15,12 @@
     """One complete response.
 
     :param keep_alive: whether the peer keeps the connection.
-    :param framed: whether its end was marked; without that the end of the connection ends it.
     """
 
     status: int
     headers: Headers
     body: bytes
     keep_alive: bool
-    framed: bool = True
 
 
 class ResponseReader:
@@ -75,7 +73,6 @@
             self._headers,
             b"".join(self._body),
             keep_alive=False,
-            framed=False,
         )
         self._in_message = False
         self._on_response(response)
--- a/src/persimmonspur/entry/server.py
+++ b/src/persimmonspur/entry/server.py
@@ -28,7 +28,6 @@
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
-    417: "Expectation Failed",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -12,7 +12,6 @@
 from persimmonspur.platform.documents import StoreObject
 
 CONFIGURATION_KIND = "config"
-CONFIGURATION_NAME = "main"
 ENDPOINT_KIND = "servers"
 EVACUATION_KIND = "evacuations"
 INSTANCE_KIND = "entry-instances"
