--- a/src/persimmonspur/entry/calls.py
+++ b/src/persimmonspur/entry/calls.py
@@ -1,5 +1,8 @@
 """HTTP calls that a greenlet waits for."""
 
+from typing import TypeVar
+
+import msgspec
 from expression import Error, Ok, Result
 from gevent.event import AsyncResult
 
@@ -9,6 +12,8 @@
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.errors import ErrorKind, Failure, Ran
 
+M = TypeVar("M")
+
 CONNECTIONS = 8
 
 
@@ -63,5 +68,25 @@
         return b"".join(lines)
 
 
+def fetch_message(
+    caller: HttpCaller, peer: str, path: str, timeout_ms: float, message_type: type[M]
+) -> Result[M, Failure]:
+    """Ask another instance for a message.
+
+    :param peer: names the instance in failures.
+    :param timeout_ms: longest wait.
+    :param message_type: of its answer.
+    """
+    called = caller.call("GET", path, b"", timeout_ms)
+    if called.is_error():
+        return Error(called.error)
+    if called.ok.status != 200:
+        return Error(Failure.of(ErrorKind.UNREACHABLE, f"{peer}: status {called.ok.status}"))
+    try:
+        return Ok(msgspec.msgpack.decode(called.ok.body, type=message_type))
+    except msgspec.DecodeError as error:
+        return Error(Failure.of(ErrorKind.UNREACHABLE, f"{peer}: unreadable answer: {error}"))
+
+
 def _describe(method: str, path: str, ran: Ran, reason: str) -> Failure:
     return Failure.of(ErrorKind.STORE_UNAVAILABLE, f"{method} {path}: {reason}", ran)
--- a/src/persimmonspur/entry/peerstate.py
+++ b/src/persimmonspur/entry/peerstate.py
@@ -7,15 +7,15 @@
 from collections.abc import Callable
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.routes import RouteTable
-from persimmonspur.entry.calls import HttpCaller
+from persimmonspur.entry.calls import HttpCaller, fetch_message
 from persimmonspur.entry.relays import RelaySurface
 from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
 from persimmonspur.entry.wire import Revisions, TableMessage, unpack_endpoint, unpack_table
-from persimmonspur.errors import ErrorKind, Failure
+from persimmonspur.errors import Failure
 
 STATE_PATH = "/state"
 FETCH_TIMEOUT_MS = 1_000.0
@@ -69,13 +69,6 @@
 
     :param caller: of the peer's address.
     """
-    called = caller.call("GET", STATE_PATH, b"", FETCH_TIMEOUT_MS)
+    fetched = fetch_message(caller, "peer", STATE_PATH, FETCH_TIMEOUT_MS, PeerState)
     caller.close()
-    if called.is_error():
-        return Error(called.error)
-    if called.ok.status != 200:
-        return Error(Failure.of(ErrorKind.UNREACHABLE, f"peer: status {called.ok.status}"))
-    try:
-        return Ok(msgspec.msgpack.decode(called.ok.body, type=PeerState))
-    except msgspec.DecodeError as error:
-        return Error(Failure.of(ErrorKind.UNREACHABLE, f"peer: unreadable state: {error}"))
+    return fetched
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -9,16 +9,16 @@
 
 import msgspec
 from attrs import define, field, frozen
-from expression import Error, Ok, Result
+from expression import Result
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.messages import TimerHandle, Timers
 from persimmonspur.core.fleet.relays import RelayChoice
 from persimmonspur.core.fleet.roles import Member
-from persimmonspur.entry.calls import HttpCaller
+from persimmonspur.entry.calls import HttpCaller, fetch_message
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
 from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
-from persimmonspur.errors import ErrorKind, Failure
+from persimmonspur.errors import Failure
 
 T = TypeVar("T")
 W = TypeVar("W")
@@ -229,16 +229,11 @@
 
     def _watch_relay(self, relay: Member, revision: int) -> Result[Updates[T], Failure]:
         path = f"{CHANGES_PATH}{self._name}?after={revision}"
-        called = self._client.open(relay).call("GET", path, b"", POLL_MS + ANSWER_MS)
-        if called.is_error():
-            return Error(called.error)
-        if called.ok.status != 200:
-            return Error(_describe(relay, f"status {called.ok.status}"))
-        try:
-            message = msgspec.msgpack.decode(called.ok.body, type=self._format.message_type)
-        except msgspec.DecodeError as error:
-            return Error(_describe(relay, str(error)))
-        return Ok(self._read(message))
+        caller = self._client.open(relay)
+        message_type: type[ChangesMessage[W]] = self._format.message_type
+        timeout_ms = POLL_MS + ANSWER_MS
+        fetched = fetch_message(caller, f"relay {relay.name}", path, timeout_ms, message_type)
+        return fetched.map(self._read)
 
     def _read(self, message: ChangesMessage[W]) -> Updates[T]:
         shift_ms = self._client.clock.now_ms() - message.sent_ms
@@ -251,7 +246,3 @@
 
     def _read_value(self, value: W | None, shift_ms: float) -> T | None:
         return self._format.unpack(value, shift_ms) if value is not None else None
-
-
-def _describe(relay: Member, reason: str) -> Failure:
-    return Failure.of(ErrorKind.UNREACHABLE, f"relay {relay.name}: {reason}")
