Serve readiness, addresses and metrics by one surface

Three classes differed in their answer only. A refusal of the request surface takes its headers from the answers' format, which had a second copy of them.

--- a/src/persimmonspur/entry/surfaces.py
+++ b/src/persimmonspur/entry/surfaces.py
@@ -7,7 +7,6 @@
 from persimmonspur.core.fleet.messages import ClientRequest, FinalAnswer, Headers
 from persimmonspur.core.fleet.routes import RouteTableHolder, WeightedRotation
 from persimmonspur.core.fleet.tier import Tier
-from persimmonspur.entry.metrics import CONTENT_TYPE
 from persimmonspur.entry.observer import FinishedRequest
 from persimmonspur.entry.server import HttpAnswer, HttpRequest, Respond
 
@@ -17,14 +16,11 @@
 
 
 class ClientCodec(Protocol):
-    """Format of clients' requests and of this instance's own answers."""
+    """Format of clients' requests."""
 
     def read_request(self, request: HttpRequest) -> ClientRequest:
         """Read a request."""
 
-    def format_refusal(self, retry_after_ms: float) -> Headers:
-        """Return the headers of an answer that says the request did not run."""
-
 
 class RequestSurface:
     """Handles clients' requests.
@@ -52,7 +48,7 @@
         received = self._codec.read_request(request)
         table = self._routes.table
         if table is None:
-            headers = self._codec.format_refusal(RETRY_AFTER_UNREADY_MS)
+            headers = self._tier.answers.format_refusal(RETRY_AFTER_UNREADY_MS)
             self._refuse(received, respond, 503, headers, "no_configuration", 0)
             return None
         if not received.host or not received.target.startswith(b"/"):
@@ -67,15 +63,17 @@
         elif route.targets:
             services = (self._rotation.pick(route),)
         else:
-            headers = self._codec.format_refusal(RETRY_AFTER_UNREADY_MS)
+            headers = self._tier.answers.format_refusal(RETRY_AFTER_UNREADY_MS)
             self._refuse(received, respond, 503, headers, "no_target", table.version)
             return None
 
-        def finish(answer: FinalAnswer) -> None:
+        def end(answer: FinalAnswer) -> None:
             self.running -= 1
-            now_ms = self._tier.clock.now_ms()
-            duration_ms = now_ms - received.arrived_ms
+            duration_ms = self._tier.clock.now_ms() - received.arrived_ms
             self._on_finished(FinishedRequest(received, route, table.version, answer, duration_ms))
+
+        def finish(answer: FinalAnswer) -> None:
+            end(answer)
             respond(HttpAnswer(answer.status, answer.headers, answer.body))
 
         exchange = Exchange(self._tier, table, route, services, received, finish)
@@ -84,12 +82,8 @@
         def leave() -> None:
             if exchange.done:
                 return
-            self.running -= 1
             exchange.leave()
-            answer = FinalAnswer(0, [], b"", "client_left")
-            now_ms = self._tier.clock.now_ms()
-            duration_ms = now_ms - received.arrived_ms
-            self._on_finished(FinishedRequest(received, route, table.version, answer, duration_ms))
+            end(FinalAnswer(0, [], b"", "client_left"))
 
         exchange.start()
         return leave
@@ -108,51 +102,20 @@
         respond(HttpAnswer(status, answer.headers, answer.body))
 
 
-class ReadySurface:
-    """Tells the platform whether this instance takes requests."""
-
-    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
-        self._path = path
-        self._is_ready = is_ready
-
-    def handle(self, request: HttpRequest, respond: Respond) -> None:
-        """Answer one request."""
-        if request.target.partition(b"?")[0].decode("latin-1") != self._path:
-            respond(HttpAnswer(404))
-            return
-        respond(HttpAnswer(200 if self._is_ready() else 503))
-
-
-class ResolveSurface:
-    """Tells clients which instances to use."""
+class PageSurface:
+    """Answers every request for one path in the same way."""
 
-    def __init__(self, path: str, format_addresses: Callable[[], bytes]) -> None:
+    def __init__(self, path: str, answer: Callable[[], HttpAnswer]) -> None:
         """Serve one path.
 
-        :param format_addresses: returns the answer as JSON, the same for every client.
+        :param answer: returns the present answer, the same for every client.
         """
         self._path = path
-        self._format_addresses = format_addresses
-
-    def handle(self, request: HttpRequest, respond: Respond) -> None:
-        """Answer one request."""
-        if request.target.partition(b"?")[0].decode("latin-1") != self._path:
-            respond(HttpAnswer(404))
-            return
-        headers = [(b"Content-Type", b"application/json")]
-        respond(HttpAnswer(200, headers, self._format_addresses()))
-
-
-class MetricsSurface:
-    """Serves the metrics as text."""
-
-    def __init__(self, path: str, format_text: Callable[[], bytes]) -> None:
-        self._path = path
-        self._format_text = format_text
+        self._answer = answer
 
     def handle(self, request: HttpRequest, respond: Respond) -> None:
         """Answer one request."""
         if request.target.partition(b"?")[0].decode("latin-1") != self._path:
             respond(HttpAnswer(404))
             return
-        respond(HttpAnswer(200, [(b"Content-Type", CONTENT_TYPE)], self._format_text()))
+        respond(self._answer())
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -10,19 +10,19 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import Endpoint
-from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, Headers
+from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply
 from persimmonspur.core.fleet.roles import Member, measure_capability
 from persimmonspur.entry import events as entry_events
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.instance import Codecs, EntryInstance, Identity
-from persimmonspur.entry.metrics import format_metrics
+from persimmonspur.entry.metrics import CONTENT_TYPE, format_metrics
 from persimmonspur.entry.options import EntryOptions, read_options
 from persimmonspur.entry.records import EventLog, open_log
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.entry.run import Surface, run_entry
-from persimmonspur.entry.server import HttpRequest
+from persimmonspur.entry.server import HttpAnswer, HttpRequest
 from persimmonspur.entry.state import Sources
-from persimmonspur.entry.surfaces import MetricsSurface, ReadySurface, ResolveSurface
+from persimmonspur.entry.surfaces import PageSurface
 from persimmonspur.entry.timers import LoopTimers
 from persimmonspur.errors import ANSWERS, ErrorKind, Failure
 from persimmonspur.platform import headers
@@ -55,10 +55,6 @@
         """Read a client's request."""
         return headers.read_client_request(request)
 
-    def format_refusal(self, retry_after_ms: float) -> Headers:
-        """Return the headers of an answer that says the request did not run."""
-        return headers.PlatformAnswers().format_refusal(retry_after_ms)
-
     def format_request(
         self, request: ClientRequest, endpoint: Endpoint, timeout_ms: float
     ) -> bytes:
@@ -121,16 +117,25 @@
     instance: EntryInstance, settings: EntrySettings, options: EntryOptions
 ) -> list[Surface]:
     """Return what is served besides requests."""
-    ready = ReadySurface(READY_PATH, lambda: instance.ready)
-    resolve = ResolveSurface(RESOLVE_PATH, lambda: format_addresses(instance, settings))
+
+    def answer_ready() -> HttpAnswer:
+        return HttpAnswer(200 if instance.ready else 503)
+
+    def answer_resolve() -> HttpAnswer:
+        content_type = [(b"Content-Type", b"application/json")]
+        return HttpAnswer(200, content_type, format_addresses(instance, settings))
+
+    def answer_metrics() -> HttpAnswer:
+        content_type = [(b"Content-Type", CONTENT_TYPE)]
+        return HttpAnswer(200, content_type, format_metrics(instance.observer.metrics))
+
     surfaces = [
-        Surface(settings.ready_address, ready),
-        Surface(settings.resolve_address, resolve),
+        Surface(settings.ready_address, PageSurface(READY_PATH, answer_ready)),
+        Surface(settings.resolve_address, PageSurface(RESOLVE_PATH, answer_resolve)),
     ]
     if options.metrics_address:
-        metrics = instance.observer.metrics
-        surface = MetricsSurface(METRICS_PATH, lambda: format_metrics(metrics))
-        surfaces.append(Surface(options.metrics_address, surface))
+        page = PageSurface(METRICS_PATH, answer_metrics)
+        surfaces.append(Surface(options.metrics_address, page))
     return surfaces
 
 
