--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -186,19 +186,17 @@
         if self._lags[feed.name].note(announced, own, self._clock.now_ms()):
             self._renew(feed, own, announced, peer)
 
+    def _log_rejected(self, kind: str, rejected: tuple[Failure, ...]) -> None:
+        for failure in rejected:
+            self._observer.log.record(events.ENTRY_REJECTED, kind=kind, reason=failure.message)
+
     def _take_configurations(self, snapshot: Snapshot[RouteTable], after_outage: bool) -> None:
-        for failure in snapshot.rejected:
-            self._observer.log.record(
-                events.ENTRY_REJECTED, kind="configuration", reason=failure.message
-            )
+        self._log_rejected("configuration", snapshot.rejected)
         for table in snapshot.items.values():
             self._take_table(table)
 
     def _take_configuration_updates(self, updates: Updates[RouteTable], after_outage: bool) -> None:
-        for failure in updates.rejected:
-            self._observer.log.record(
-                events.ENTRY_REJECTED, kind="configuration", reason=failure.message
-            )
+        self._log_rejected("configuration", updates.rejected)
         for _, table in updates.changes:
             if table is not None:
                 self._take_table(table)
@@ -215,10 +213,7 @@
         )
 
     def _take_endpoints(self, snapshot: Snapshot[Endpoint], after_outage: bool) -> None:
-        for failure in snapshot.rejected:
-            self._observer.log.record(
-                events.ENTRY_REJECTED, kind="endpoint", reason=failure.message
-            )
+        self._log_rejected("endpoint", snapshot.rejected)
         self.endpoints.replace_all(snapshot.items.values(), after_outage, self._clock.now_ms())
         self._observer.log.record(
             events.ENDPOINTS_LISTED,
@@ -230,10 +225,7 @@
             self._timers.call_later(RETURN_MS + 1, self._expire_endpoints)
 
     def _take_endpoint_updates(self, updates: Updates[Endpoint], after_outage: bool) -> None:
-        for failure in updates.rejected:
-            self._observer.log.record(
-                events.ENTRY_REJECTED, kind="endpoint", reason=failure.message
-            )
+        self._log_rejected("endpoint", updates.rejected)
         removed = [identity for identity, endpoint in updates.changes if endpoint is None]
         for identity, endpoint in updates.changes:
             if endpoint is None:
