Tell of store entries that are no objects

Lists counted them and watches dropped them; nothing read the count, and no line in the log told of them. Rejected evacuations are logged like the others.

--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -259,10 +259,12 @@
             )
 
     def _take_evacuations(self, snapshot: Snapshot[str], after_outage: bool) -> None:
+        self._log_rejected("evacuation", snapshot.rejected)
         self._evacuated = set(snapshot.items)
         self._apply_evacuations()
 
     def _take_evacuation_updates(self, updates: Updates[str], after_outage: bool) -> None:
+        self._log_rejected("evacuation", updates.rejected)
         for name, present in updates.changes:
             if present is None:
                 self._evacuated.discard(name)
--- a/src/persimmonspur/platform/sources.py
+++ b/src/persimmonspur/platform/sources.py
@@ -10,7 +10,7 @@
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.entry.feeds import Snapshot, Updates
-from persimmonspur.errors import Failure
+from persimmonspur.errors import ErrorKind, Failure
 from persimmonspur.platform.documents import (
     StoreObject,
     read_endpoint,
@@ -54,7 +54,7 @@
 
     def _read_listing(self, listing: Listing) -> Snapshot[T]:
         items: dict[str, T] = {}
-        rejected = []
+        rejected = _describe_unreadable(listing.unreadable)
         for item in listing.objects:
             read = self._read(item)
             if read.is_error():
@@ -66,7 +66,7 @@
 
     def _read_changes(self, changes: Changes) -> Updates[T]:
         updates: list[tuple[str, T | None]] = []
-        rejected = []
+        rejected = _describe_unreadable(changes.unreadable)
         for change in changes.changes:
             name = change.object.meta.name
             if change.removed:
@@ -103,5 +103,11 @@
     return KindSource(store, INSTANCE_KIND, read_member)
 
 
+def _describe_unreadable(count: int) -> list[Failure]:
+    if not count:
+        return []
+    return [Failure.of(ErrorKind.INVALID_CONFIGURATION, f"{count} entries are no objects")]
+
+
 def _read_name(item: StoreObject) -> Result[str, Failure]:
     return Result.Ok(item.meta.name)
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -65,10 +65,12 @@
     """What a watch reports.
 
     :param revision: from which the next watch continues.
+    :param unreadable: events whose objects are none.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    unreadable: int = 0
 
 
 class PlatformStore:
@@ -121,7 +123,8 @@
             read = _read_object(event.object)
             if read is not None:
                 changes.append(Change(read, event.removed))
-        return Ok(Changes(tuple(changes), events.ok.store_revision))
+        unreadable = len(events.ok.events) - len(changes)
+        return Ok(Changes(tuple(changes), events.ok.store_revision, unreadable))
 
     def put(self, kind: str, name: str, spec: Any) -> Result[None, Failure]:
         """Replace an object, or create it if there is none."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 from persimmonspur.entry.calls import HttpCaller
 from persimmonspur.entry.timers import LoopTimers
 from persimmonspur.errors import ErrorKind
+from persimmonspur.platform.sources import open_evacuation_source
 from persimmonspur.platform.store import PlatformStore
 
 
@@ -79,3 +80,19 @@
     standin.lose_answers = 1
     assert store.put("entry-instances", "a", {}).is_error()
     assert store.put("entry-instances", "a", {}).is_ok()
+
+
+def test_entries_that_are_no_objects_are_told(standin, store):
+    # Guards against entries of other writers that vanish without a line in the log.
+    source = open_evacuation_source(store)
+    standin.put("evacuations", "zone-a", {})
+    standin.objects["evacuations"]["forged"] = "text"
+    listed = source.list(1_000.0).ok
+    assert list(listed.items) == ["zone-a"]
+    assert [failure.message for failure in listed.rejected] == ["1 entries are no objects"]
+    standin.revision += 1
+    standin._add_event("evacuations", "text", False)
+    standin.put("evacuations", "zone-b", {})
+    watched = source.watch(listed.revision, 1_000.0).ok
+    assert [name for name, _ in watched.changes] == ["zone-b"]
+    assert len(watched.rejected) == 1
