Keep rendezvous scores instead of hashing them again

Each instance ranks all ready instances when it chooses the relays, up to several times a second, for the same two keys.

--- a/src/persimmonspur/core/rendezvous.py
+++ b/src/persimmonspur/core/rendezvous.py
@@ -1,9 +1,12 @@
 """Weighted rendezvous hashing."""
 
+import functools
 import hashlib
 import math
 
 _HASH_RANGE = float(1 << 64)
+# Members are ranked many times a second for the same few keys.
+SCORES_KEPT = 16_384
 
 
 def hash_key(*parts: str) -> int:
@@ -15,6 +18,7 @@
     return int.from_bytes(digest, "big")
 
 
+@functools.lru_cache(maxsize=SCORES_KEPT)
 def score_candidate(candidate: str, key: str, weight: float) -> float:
     """Return the candidate's score for a key; the highest score wins.
 
