--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -40,6 +40,15 @@
     made.server.stop(timeout=0.1)
 
 
+@pytest.fixture
+def silent():
+    """Address of an instance that accepts connections and never answers."""
+    server = StreamServer(("127.0.0.1", 0), lambda sock, address: gevent.sleep(30))
+    server.start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.stop()
+
+
 def query(entry, client=None, **options):
     client = client or Client([entry.address])
     answer = client.query("s", "counter", 5_000.0, repeatable=False, **options)
@@ -70,18 +79,15 @@
     assert len(sent) == 1
 
 
-def test_silent_instance_is_not_left_during_a_request_that_may_have_run(entry):
+def test_silent_instance_is_not_left_during_a_request_that_may_have_run(entry, silent):
     # Guards against an outcome that stays unknown although its answer was on the way.
-    silent = StreamServer(("127.0.0.1", 0), lambda sock, address: gevent.sleep(30))
-    silent.start()
     client = Client([entry.address])
-    client._addresses = [f"127.0.0.1:{silent.server_port}", entry.address]
+    client._addresses = [silent, entry.address]
     client._keep_until_ms = float("inf")
     client._rng.randrange = lambda bound: 0
     answer = client.query("s", "counter", 800.0, repeatable=False)
     assert (answer.ran, answer.attempts) == (Ran.UNKNOWN, 1)
     assert entry.queries == []
-    silent.stop()
 
 
 def test_refused_connections_did_not_run(entry):
@@ -89,12 +95,10 @@
     assert (answer.error, answer.ran) == (ErrorKind.UNREACHABLE, Ran.NO)
 
 
-def test_a_silent_instance_is_left_and_avoided(entry):
+def test_a_silent_instance_is_left_and_avoided(entry, silent):
     """A frozen instance must not cost its callers the whole timeout each time."""
-    silent = StreamServer(("127.0.0.1", 0), lambda sock, address: gevent.sleep(30))
-    silent.start()
     client = Client([entry.address])
-    client._addresses = [f"127.0.0.1:{silent.server_port}", entry.address]
+    client._addresses = [silent, entry.address]
     client._keep_until_ms = float("inf")
     client._rng.randrange = lambda bound: 0
     entry.answers = [(None, "yes")] * 2
@@ -103,15 +107,12 @@
     client._keep_until_ms = float("inf")
     second = client.query("s", "counter", 60_000.0)
     assert (second.error, second.attempts) == (None, 1)
-    silent.stop()
 
 
-def test_a_silent_instance_delays_no_query_that_can_use_known_addresses(entry):
+def test_a_silent_instance_delays_no_query_that_can_use_known_addresses(entry, silent):
     """Every query used to wait for the resolve call that the silent instance never answers."""
-    silent = StreamServer(("127.0.0.1", 0), lambda sock, address: gevent.sleep(30))
-    silent.start()
     client = Client([entry.address])
-    client._addresses = [f"127.0.0.1:{silent.server_port}", entry.address]
+    client._addresses = [silent, entry.address]
     client._seeds = []
     client._rng.randrange = lambda bound: 0
     asking = gevent.spawn(client.resolve)
@@ -123,4 +124,3 @@
     assert client.query("s", "counter", 60_000.0).error is None
     assert answered_before == [False]
     asking.kill()
-    silent.stop()
--- a/tests/core/fleet/test_members.py
+++ b/tests/core/fleet/test_members.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fleetsim import make_member
 from persimmonspur.core.fleet.budget import ColdStartLimit
 from persimmonspur.core.fleet.members import (
     ACTIVE_HEARTBEAT_MS,
@@ -12,18 +13,6 @@
     RELAY_HEARTBEAT_MS,
     Membership,
 )
-from persimmonspur.core.fleet.roles import Member
-
-
-def make_member(index, incarnation=1, domains=3):
-    return Member(
-        f"i{index}",
-        incarnation,
-        f"d{index % domains}",
-        "r",
-        f"10.0.0.{index}:80",
-        f"10.0.0.{index}:81",
-    )
 
 
 def names_of(members):
--- a/tests/core/fleet/test_roles.py
+++ b/tests/core/fleet/test_roles.py
@@ -2,25 +2,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fleetsim import make_member
 from persimmonspur.core.fleet.roles import (
-    Member,
     choose_entry_set,
     choose_relays,
     measure_capability,
 )
 
 
-def make_member(index, incarnation=1, domains=3):
-    return Member(
-        f"i{index}",
-        incarnation,
-        f"d{index % domains}",
-        "r",
-        f"10.0.0.{index}:80",
-        f"10.0.0.{index}:81",
-    )
-
-
 @given(st.sets(st.integers(min_value=0, max_value=40)), st.integers(min_value=1, max_value=8))
 def test_entry_set_is_spread_and_as_large_as_asked(indexes, size):
     members = [make_member(index) for index in sorted(indexes)]
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -13,6 +13,7 @@
 from persimmonspur.core.fleet.exchange import Exchange
 from persimmonspur.core.fleet.latency import RouteLatencies
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointReply, SendFailure
+from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import (
     ClientLimits,
     Gather,
@@ -350,3 +351,15 @@
             if latency_ms is not None:
                 earned += share if latency_ms <= self.route.objective_ms else 0.1 * share
         return earned / owed
+
+
+def make_member(index, incarnation=1, domains=3):
+    """Return a registered instance; instances take the failure domains in turn."""
+    return Member(
+        f"i{index}",
+        incarnation,
+        f"d{index % domains}",
+        "r",
+        f"10.0.0.{index}:80",
+        f"10.0.0.{index}:81",
+    )
