Log and export what a call of the store waits for

To tell the hypotheses of the configuration incident apart: watch_stuck now carries the source, the age of the call in progress, the restarts that got no answer and whether the last call failed; configuration_in_effect names the source of the version; persimmonspur_store_call_age_seconds is a new gauge. No change of behaviour.

--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -83,6 +83,7 @@
     :ivar revision: revision of the store from which the next watch continues.
     :ivar newest_revision: revision of the latest change that was applied.
     :ivar last_success_ms: local time of the last successful call.
+    :ivar unanswered_restarts: restarts since the last call that was answered or failed.
     :ivar history: recent changes, for instances that follow this one.
     :ivar on_change: called after changes were applied and after a call failed.
     :ivar on_store_recovered: called on the first successful call after failures.
@@ -126,6 +127,8 @@
         self.revision = 0
         self.newest_revision = 0
         self.last_success_ms = 0.0
+        self.unanswered_restarts = 0
+        self._call_started_ms: float | None = None
         self.history: ChangeHistory[T] = ChangeHistory()
         self.on_change: Callable[[], None] | None = None
         self.on_store_recovered: Callable[[], None] | None = None
@@ -141,6 +144,13 @@
         """Whether the last call failed."""
         return self._backoff_ms > 0
 
+    @property
+    def call_age_ms(self) -> float:
+        """Time since the call in progress was sent; 0 without one."""
+        if self._call_started_ms is None:
+            return 0.0
+        return self._clock.now_ms() - self._call_started_ms
+
     def advance_newest_revision(self, revision: int) -> None:
         """Record that state up to a revision was received from a peer."""
         self.newest_revision = max(self.newest_revision, revision)
@@ -154,6 +164,7 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
             self._greenlet = None
+            self._call_started_ms = None
 
     def retry_now(self) -> None:
         """Skip the remaining backoff because the store is known to answer again."""
@@ -163,6 +174,7 @@
         """Abort the current call, which may never be answered, and start a new one."""
         self.stop()
         self._probing = True
+        self.unanswered_restarts += 1
         self.start()
 
     def _follow(self) -> None:
@@ -173,7 +185,9 @@
                 self._list_once()
 
     def _list_once(self) -> None:
+        self._call_started_ms = self._clock.now_ms()
         listed = self._source.list(self._list_timeout_ms)
+        self._record_call_end()
         if listed.is_error():
             self._list_timeout_ms = min(MAX_LIST_TIMEOUT_MS, 2 * self._list_timeout_ms)
             self._back_off(listed.error)
@@ -188,7 +202,9 @@
         # Jitter prevents instances that started together from calling the store in step.
         max_wait_ms = PROBE_TIMEOUT_MS if self._backoff_ms or self._probing else WATCH_TIMEOUT_MS
         wait_ms = max_wait_ms * (0.75 + 0.25 * self._rng.random())
+        self._call_started_ms = self._clock.now_ms()
         watched = self._source.watch(self.revision, wait_ms)
+        self._record_call_end()
         if watched.is_error():
             if watched.error.kind is ErrorKind.CONFLICT:
                 self.revision = 0
@@ -222,6 +238,10 @@
     def _is_recovering(self) -> bool:
         return self._clock.now_ms() - self._recovered_ms < RECOVERY_PERIOD_MS
 
+    def _record_call_end(self) -> None:
+        self._call_started_ms = None
+        self.unanswered_restarts = 0
+
     def _record_success(self) -> None:
         self.last_success_ms = self._clock.now_ms()
         if self._backoff_ms:
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -318,6 +318,12 @@
             "feed",
             self._get_store_ages,
         )
+        metrics.add_gauge(
+            "persimmonspur_store_call_age_seconds",
+            "Time since the call in progress for changes was sent",
+            "feed",
+            lambda: {feed.name: feed.call_age_ms / 1000 for feed in self.state.feeds},
+        )
         metrics.add_gauge(
             "persimmonspur_instance",
             "Requests and sends that run, live relays, connections, lost log lines, stalls",
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -154,7 +154,10 @@
 
 
 class RelayClient:
-    """Holds the HTTP client for the relay that this instance follows."""
+    """Holds the HTTP client for the relay that this instance follows.
+
+    :ivar source: name of the source of changes: a relay, or :data:`STORE`.
+    """
 
     def __init__(
         self,
@@ -172,7 +175,7 @@
         self.clock = clock
         self._timers = timers
         self._on_source_change = on_source_change
-        self._source = STORE
+        self.source = STORE
         self._address = ""
         self._http_client: HttpClient | None = None
 
@@ -181,8 +184,8 @@
 
         :param source: a relay's name, or :data:`STORE`.
         """
-        if source != self._source:
-            self._source = source
+        if source != self.source:
+            self.source = source
             self._on_source_change(source, reason)
 
     def get_client(self, relay: Member) -> HttpClient:
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -20,7 +20,13 @@
 from persimmonspur.entry.httpclient import HttpClient
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerState, fetch_state
-from persimmonspur.entry.relays import ChangeRelay, RelayClient, RelayedSource, RelayHandler
+from persimmonspur.entry.relays import (
+    STORE,
+    ChangeRelay,
+    RelayClient,
+    RelayedSource,
+    RelayHandler,
+)
 from persimmonspur.entry.wire import (
     ENDPOINT_FORMAT,
     EVACUATION_FORMAT,
@@ -201,7 +207,7 @@
     ) -> None:
         self._log_rejected("configuration", snapshot.rejected)
         for table in snapshot.items.values():
-            self._apply_table(table)
+            self._apply_table(table, STORE)
 
     def _apply_configuration_updates(
         self, updates: Updates[RouteTable], after_outage: bool
@@ -209,9 +215,13 @@
         self._log_rejected("configuration", updates.rejected)
         for _, table in updates.changes:
             if table is not None:
-                self._apply_table(table)
+                self._apply_table(table, self._relay_client.source)
+
+    def _apply_table(self, table: RouteTable, source: str) -> None:
+        """Put a table into effect unless a newer one is in effect already.
 
-    def _apply_table(self, table: RouteTable) -> None:
+        :param source: where it was received from: the store, or the name of a relay or peer.
+        """
         if not self.routes.replace_if_newer(table):
             return
         self._on_table_change(table)
@@ -220,6 +230,7 @@
             version=table.version,
             routes=len(table.routes),
             services=len(table.services),
+            source=source,
         )
 
     def _apply_endpoint_snapshot(self, snapshot: Snapshot[Endpoint], after_outage: bool) -> None:
@@ -291,7 +302,15 @@
 
     def _recover_stuck_feed(self, feed: Feed[Any], own: int, newer: int, peer: Member) -> None:
         self._observer.log.record(
-            events.WATCH_STUCK, feed=feed.name, own=own, newer=newer, peer=peer.name
+            events.WATCH_STUCK,
+            feed=feed.name,
+            own=own,
+            newer=newer,
+            peer=peer.name,
+            source=self._relay_client.source,
+            call_age_ms=round(feed.call_age_ms),
+            unanswered_restarts=feed.unanswered_restarts,
+            failing=feed.failing,
         )
         if feed.failing:
             # The store does not answer this instance, so it copies the peer's state.
@@ -312,7 +331,7 @@
         now_ms = self._clock.now_ms()
         table = state.build_table()
         if table is not None:
-            self._apply_table(table)
+            self._apply_table(table, peer.name)
             self.configuration_feed.advance_newest_revision(state.newest.configuration)
         if state.newest.endpoints > self.endpoint_feed.known_revision:
             self.endpoints.replace_all(state.build_endpoints(now_ms), False, now_ms)
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -145,3 +145,18 @@
     assert source.calls == ["list", "list", 10]
     assert len(received) == 1
     assert recovered == ["list"]
+
+
+def test_restarts_without_an_answer_are_counted(start_feed):
+    # Guards against a log that cannot tell a call that hangs from one that is repeated.
+    source, _, _ = start_feed(Ok(Snapshot({}, 10)))
+    source.feed.restart()
+    gevent.sleep(0.02)
+    source.feed.restart()
+    gevent.sleep(0.02)
+    assert source.feed.unanswered_restarts == 2
+    assert 10 < source.feed.call_age_ms < 1_000
+    source.results.append(Ok(Updates((), 11)))
+    source.feed.restart()
+    gevent.sleep(0.02)
+    assert source.feed.unanswered_restarts == 0
