--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -10,14 +10,16 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-HISTORY = 1_000
+# Longer than any test waits for an answer.
+SILENCE_S = 120.0
 
 
 class FakeStore:
     """An object store with watches; attributes inject faults.
 
     :ivar down: whether every request is answered with status 503.
-    :ivar silent: whether requests are left unanswered.
+    :ivar silent: whether requests are left unanswered, also once the store answers others
+        again.
     :ivar responses_to_lose: number of coming writes that are executed but not answered.
     """
 
@@ -81,8 +83,8 @@
         method = environ["REQUEST_METHOD"]
         body = environ["wsgi.input"].read()
         self.requests.append((method, environ["PATH_INFO"], query))
-        while self.silent:
-            gevent.sleep(0.05)
+        if self.silent:
+            Event().wait(SILENCE_S)
         if self.down:
             return self._respond(start_response, 503, {"error": "down"})
         path_parts = unquote(url.path).removeprefix("/-/objects/").split("/")
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -22,6 +22,11 @@
 from persimmonspur.platform.run import build_instance, encode_addresses
 from persimmonspur.platform.settings import EntrySettings
 
+# Bounds of the platform: the time in which a configuration takes effect, and the time after a
+# disturbance of the store from which that holds.
+CONFIGURATION_TIMEOUT_S = 3.0
+STABILITY_WINDOW_S = 4.0
+
 
 def find_free_port():
     with socket.socket() as sock:
@@ -179,6 +184,22 @@
     assert deployment.send_request("/one/x")[1]["x-server-stamp"] == "i-2.abc"
 
 
+def test_change_after_a_silent_store_takes_effect_in_time(deployment):
+    # Guards against watches that were sent into a silence and hang until their long timeout.
+    deployment.add_searcher("i-1", "s1")
+    deployment.add_searcher("i-2", "s2")
+    deployment.configure(make_route())
+    deployment.start()
+    deployment.configure(make_route(service="s1"), version=2)
+    deployment.store.silent = True
+    gevent.sleep(1.0)
+    deployment.store.silent = False
+    gevent.sleep(STABILITY_WINDOW_S)
+    deployment.configure(make_route(service="s2"), version=3)
+    gevent.sleep(CONFIGURATION_TIMEOUT_S)
+    assert deployment.send_request("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+
+
 def test_draining_searcher_gets_no_new_requests(deployment):
     first = deployment.add_searcher("i-1", "s1")
     second = deployment.add_searcher("i-2", "s1")
@@ -357,6 +378,21 @@
     assert "peer_state_taken" in names
 
 
+def test_instance_whose_store_calls_hang_gets_state_from_a_peer(pair):
+    # Guards against a recovery that repeats a call before it can succeed or time out.
+    first, second = pair
+    first.add_searcher("i-1", "s1")
+    first.configure(make_route(), version=1)
+    first.start()
+    second.start()
+    register_with_each_other(first, second)
+    second.store.silent = True
+    first.add_searcher("i-2", "s2")
+    first.configure(make_route(service="s2"), version=2)
+    gevent.sleep(CONFIGURATION_TIMEOUT_S)
+    assert second.send_request("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+
+
 def test_instance_that_starts_without_the_store_gets_state_from_a_peer(pair):
     first, second = pair
     first.add_searcher("i-1", "s1")
