Notice watches that were sent into a silence of the store

Callers got the answers of an older configuration, and 404 on added routes, for up to 8 s after a change. All instances that watch the store receive a change together and watch again together. If the store goes silent at that moment, it never answers these calls; no instance is ahead, so the lag detection sees nothing, and only the timeouts of the watches, 15 to 20 s, reveal it.

The watch after changes now takes at most 1 s at the instances of the entry set, until one is answered; the others learn of newer state from their heartbeats. Once one feed reaches the store again, the calls that the other feeds sent since the first failed call are repeated.

--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -16,8 +16,9 @@
 T = TypeVar("T")
 
 WATCH_TIMEOUT_MS = 20_000.0
-# Watch timeout after a failed call. A store that hung never answers the calls it received
-# meanwhile, so a long watch would delay noticing its recovery.
+# Watch timeout after a failed call, and after changes where watches are verified. A store that
+# hung never answers the calls it received meanwhile, so a long watch that was sent then would
+# delay noticing its recovery.
 PROBE_TIMEOUT_MS = 1_000.0
 # The first list has a short timeout because a store that hung and recovered answers only
 # the next call. The timeout doubles up to the maximum to allow for a slow store.
@@ -86,7 +87,8 @@
     :ivar unanswered_restarts: restarts since the last call that was answered or failed.
     :ivar history: recent changes, for instances that follow this one.
     :ivar on_change: called after changes were applied and after a call failed.
-    :ivar on_store_recovered: called on the first successful call after failures.
+    :ivar on_store_recovered: called on the first successful call after failures, with the
+        local time at which the first failed call was sent.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         clock: Clock,
         rng: random.Random,
         batch_delay_ms: float = 0.0,
+        verifies_watches: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a feed that is not running.
 
@@ -110,6 +113,8 @@
             failure, if any.
         :param batch_delay_ms: delay before the next watch after changes, so that a burst
             of changes needs few calls.
+        :param verifies_watches: returns whether the watch after changes is short at first, to
+            notice a store that went silent right after a change. It costs one call more.
         """
         self.name = name
         self._source = source
@@ -119,6 +124,7 @@
         self._clock = clock
         self._rng = rng
         self._batch_delay_ms = batch_delay_ms
+        self._verifies_watches = verifies_watches
         self._greenlet: gevent.Greenlet[[], None] | None = None
         self._backoff_ms = 0.0
         self._recovered_ms = -RECOVERY_PERIOD_MS
@@ -129,9 +135,10 @@
         self.last_success_ms = 0.0
         self.unanswered_restarts = 0
         self._call_started_ms: float | None = None
+        self._outage_started_ms = 0.0
         self.history: ChangeHistory[T] = ChangeHistory()
         self.on_change: Callable[[], None] | None = None
-        self.on_store_recovered: Callable[[], None] | None = None
+        self.on_store_recovered: Callable[[float], None] | None = None
         self._retry_requested = Event()
 
     @property
@@ -170,6 +177,14 @@
         """Skip the remaining backoff because the store is known to answer again."""
         self._retry_requested.set()
 
+    def restart_call_sent_since(self, time_ms: float) -> None:
+        """Repeat the call in progress if it was sent since a local time.
+
+        The store may have been silent when it received the call, and then never answers it.
+        """
+        if self._call_started_ms is not None and self._call_started_ms >= time_ms:
+            self.restart()
+
     def restart(self) -> None:
         """Abort the current call, which may never be answered, and start a new one."""
         self.stop()
@@ -185,14 +200,15 @@
                 self._list_once()
 
     def _list_once(self) -> None:
-        self._call_started_ms = self._clock.now_ms()
+        started_ms = self._call_started_ms = self._clock.now_ms()
         listed = self._source.list(self._list_timeout_ms)
         self._record_call_end()
         if listed.is_error():
             self._list_timeout_ms = min(MAX_LIST_TIMEOUT_MS, 2 * self._list_timeout_ms)
-            self._back_off(listed.error)
+            self._back_off(listed.error, started_ms)
             return
         self._record_success()
+        self._probing = self._verifies_watches()
         self._on_snapshot(listed.ok, self._is_recovering())
         self.revision = listed.ok.revision
         self.newest_revision = max(self.newest_revision, listed.ok.newest_revision)
@@ -202,7 +218,7 @@
         # Jitter prevents instances that started together from calling the store in step.
         max_wait_ms = PROBE_TIMEOUT_MS if self._backoff_ms or self._probing else WATCH_TIMEOUT_MS
         wait_ms = max_wait_ms * (0.75 + 0.25 * self._rng.random())
-        self._call_started_ms = self._clock.now_ms()
+        started_ms = self._call_started_ms = self._clock.now_ms()
         watched = self._source.watch(self.revision, wait_ms)
         self._record_call_end()
         if watched.is_error():
@@ -210,10 +226,10 @@
                 self.revision = 0
                 self._probing = False
                 return
-            self._back_off(watched.error)
+            self._back_off(watched.error, started_ms)
             return
         self._record_success()
-        self._probing = False
+        self._probing = bool(watched.ok.changes) and self._verifies_watches()
         self._apply(watched.ok)
         if watched.ok.changes and self._batch_delay_ms:
             gevent.sleep(self._batch_delay_ms / 1000)
@@ -248,11 +264,13 @@
             self._backoff_ms = 0.0
             self._recovered_ms = self.last_success_ms
             if self.on_store_recovered is not None:
-                self.on_store_recovered()
+                self.on_store_recovered(self._outage_started_ms)
         self._on_store_call(self.name, None)
 
-    def _back_off(self, failure: Failure) -> None:
+    def _back_off(self, failure: Failure, started_ms: float) -> None:
         self._on_store_call(self.name, failure)
+        if not self._backoff_ms:
+            self._outage_started_ms = started_ms
         self._backoff_ms = min(BACKOFF_MAX_MS, max(BACKOFF_FIRST_MS, self._backoff_ms * 2))
         self._notify_change()
         self._retry_requested.clear()
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -98,6 +98,7 @@
             rng,
             self._drop_removed_routes,
             RelayClient(RelaySelector(self.membership), clock, timers, self._log_source_change),
+            self._is_in_entry_set,
         )
         self.selector = ReplicaSelector(
             settings.member.failure_domain, rng, self.observer.record_suspicion
@@ -251,10 +252,13 @@
         now_ms = self.clock.now_ms()
         if not self.membership.is_relay(now_ms):
             return NO_HEARTBEATS
-        if self.settings.member in self.membership.entry_set(now_ms):
+        if self._is_in_entry_set():
             return ENTRY_SET_HEARTBEAT_INTERVAL_MS
         return RELAY_HEARTBEAT_INTERVAL_MS
 
+    def _is_in_entry_set(self) -> bool:
+        return self.settings.member in self.membership.entry_set(self.clock.now_ms())
+
     def _on_heartbeat(self, member: Member, heartbeat: Heartbeat) -> None:
         now_ms = self.clock.now_ms()
         if self.membership.record_heartbeat(member, heartbeat.ready, now_ms, heartbeat.interval_ms):
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -84,11 +84,14 @@
         rng: random.Random,
         on_table_change: Callable[[RouteTable], None],
         relay_client: RelayClient,
+        verifies_watches: Callable[[], bool],
     ) -> None:
         """Create empty state and feeds that are not running.
 
         :param on_table_change: called with each new route table.
         :param relay_client: provides the relay to follow instead of the store.
+        :param verifies_watches: returns whether this instance verifies its watches; see
+            :class:`persimmonspur.entry.feeds.Feed`.
         """
         self._relay_client = relay_client
         self._observer = observer
@@ -106,6 +109,7 @@
             clock,
             rng,
             CONFIGURATION_BATCH_DELAY_MS,
+            verifies_watches,
         )
         self.endpoint_feed: Feed[Endpoint] = Feed(
             ENDPOINTS,
@@ -116,6 +120,7 @@
             clock,
             rng,
             ENDPOINT_BATCH_DELAY_MS,
+            verifies_watches,
         )
         self.store_recovered = Event()
         self._evacuated_domains: set[str] = set()
@@ -127,6 +132,7 @@
             observer.record_store_call,
             clock,
             rng,
+            verifies_watches=verifies_watches,
         )
         self.feeds: tuple[Feed[Any], ...] = (
             self.configuration_feed,
@@ -134,7 +140,7 @@
             self.evacuation_feed,
         )
         for feed in self.feeds:
-            feed.on_store_recovered = self._retry_feeds
+            feed.on_store_recovered = self._handle_store_recovery
         self._lag_detectors = {feed.name: LagDetector() for feed in self.feeds}
         self.relay_handler = RelayHandler(
             {
@@ -164,10 +170,14 @@
         for feed in self.feeds:
             feed.stop()
 
-    def _retry_feeds(self) -> None:
-        """End the backoff of every feed because the store answered one of them."""
+    def _handle_store_recovery(self, outage_started_ms: float) -> None:
+        """End the backoff and the hung call of every feed since the store answered one of them.
+
+        :param outage_started_ms: local time at which the first failed call was sent.
+        """
         for feed in self.feeds:
             feed.retry_now()
+            feed.restart_call_sent_since(outage_started_ms)
         self.store_recovered.set()
 
     def get_client_limits(self) -> ClientLimits:
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -45,7 +45,7 @@
     monkeypatch.setattr(feeds, "BACKOFF_MAX_MS", 2.0)
     running = []
 
-    def start(*results):
+    def start(*results, **options):
         source = ScriptedSource(*results)
         received, call_results = [], []
         feed = Feed(
@@ -56,6 +56,7 @@
             lambda name, failure: call_results.append(failure is None),
             Clock(),
             random.Random(1),
+            **options,
         )
         source.feed = feed
         feed.start()
@@ -138,7 +139,7 @@
     monkeypatch.setattr(feeds, "BACKOFF_MAX_MS", 60_000.0)
     source, received, _ = start_feed(make_failure(), Ok(Snapshot({}, 10)))
     recovered = []
-    source.feed.on_store_recovered = lambda: recovered.append(source.calls[-1])
+    source.feed.on_store_recovered = lambda outage_started_ms: recovered.append(source.calls[-1])
     assert source.calls == ["list"]
     source.feed.retry_now()
     gevent.sleep(0.02)
@@ -160,3 +161,30 @@
     source.feed.restart()
     gevent.sleep(0.02)
     assert source.feed.unanswered_restarts == 0
+
+
+def test_verified_watch_after_changes_is_short_until_one_is_answered_empty(start_feed):
+    # Guards against a watch that is sent into a silence of the store and hangs for its full time.
+    source, _, _ = start_feed(
+        Ok(Snapshot({}, 10)),
+        Ok(Updates((("a", 1),), 11)),
+        Ok(Updates((), 12)),
+        Ok(Updates((), 13)),
+        verifies_watches=lambda: True,
+    )
+    after_list, after_changes, *after_empty = source.waits
+    assert max(after_list, after_changes) <= feeds.PROBE_TIMEOUT_MS
+    assert min(after_empty) > feeds.PROBE_TIMEOUT_MS
+
+
+def test_only_a_call_sent_during_the_outage_is_repeated(start_feed):
+    # Guards against feeds that hang while another feed already reaches the store again, and
+    # against repeating the calls that will be answered.
+    source, _, _ = start_feed(Ok(Snapshot({}, 10)))
+    sent_before_ms = source.feed._clock.now_ms() - source.feed.call_age_ms
+    source.feed.restart_call_sent_since(sent_before_ms + 1)
+    gevent.sleep(0.02)
+    assert source.calls == ["list", 10]
+    source.feed.restart_call_sent_since(sent_before_ms - 1)
+    gevent.sleep(0.02)
+    assert source.calls == ["list", 10, 10]
