Copy a peer's state while a call of the store hangs

An instance that the store left without answers kept an older configuration for as long as that lasted: 6 of 100 instances for over 20 s. It noticed its lag every 600 ms and each time repeated its watch, which has 2.5 s for its answer. So the call neither succeeded nor timed out, the feed never counted as failing, and the state of a peer was never copied; watch_stuck repeated with a call age of 600 ms was all that the log said.

The first report of a lag still repeats the call, over the store instead of a relay. While that call has no answer, the next reports copy the state of the peer that is ahead and leave the call alone. The same cause stood in the copying itself: it was started again every 600 ms, whatever its own timeout of 1 s; now one copy runs at a time, with 3 s, and its connection is closed.

--- a/src/persimmonspur/entry/peerstate.py
+++ b/src/persimmonspur/entry/peerstate.py
@@ -18,7 +18,8 @@
 from persimmonspur.errors import Failure
 
 STATE_PATH = "/state"
-FETCH_TIMEOUT_MS = 1_000.0
+# Long enough for a configuration of 1 MB over a link of 7 Mbit/s.
+FETCH_TIMEOUT_MS = 3_000.0
 
 
 class PeerState(msgspec.Struct):
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -141,6 +141,7 @@
         )
         for feed in self.feeds:
             feed.on_store_recovered = self._handle_store_recovery
+        self._peer_fetch: gevent.Greenlet[[Member], None] | None = None
         self._lag_detectors = {feed.name: LagDetector() for feed in self.feeds}
         self.relay_handler = RelayHandler(
             {
@@ -322,16 +323,20 @@
             unanswered_restarts=feed.unanswered_restarts,
             failing=feed.failing,
         )
-        if feed.failing:
-            # The store does not answer this instance, so it copies the peer's state.
-            gevent.spawn(self._fetch_peer_state, peer)
+        if not feed.failing and not feed.unanswered_restarts:
+            # The relay that this instance follows may be the one that lags.
+            self._relay_client.selector.exclude_all(self._clock.now_ms())
+            feed.restart()
             return
-        # The relay that this instance follows may be the one that lags.
-        self._relay_client.selector.exclude_all(self._clock.now_ms())
-        feed.restart()
+        # The store does not answer this instance. The call in progress is not repeated again:
+        # its timeout is longer than the interval at which the lag is reported.
+        if self._peer_fetch is None or self._peer_fetch.dead:
+            self._peer_fetch = gevent.spawn(self._fetch_peer_state, peer)
 
     def _fetch_peer_state(self, peer: Member) -> None:
-        fetched = fetch_state(HttpClient(peer.peer_address, self._clock, self._timers))
+        http_client = HttpClient(peer.peer_address, self._clock, self._timers)
+        fetched = fetch_state(http_client)
+        http_client.close()
         if fetched.is_error():
             self._observer.log.record(
                 events.PEER_STATE_FAILED, peer=peer.name, reason=fetched.error.message
