Keep the request rates that endpoints name

An endpoint in need names in its responses the requests per second that it takes from all instances together.

Each instance now spaces its requests to such an endpoint: the limit divided by the size of the entry set, or one share among all registered instances outside of it. Even spacing keeps short windows as well; a request counts when it is sent. What the endpoints of a shard do not take is refused at once, or left out of a gather that has enough shards. Two log events and a gauge show the limits in force.

--- a/src/persimmonspur/core/fleet/context.py
+++ b/src/persimmonspur/core/fleet/context.py
@@ -12,6 +12,7 @@
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
 from persimmonspur.core.fleet.messages import EndpointResponse, Sender, SendFailure, Timers
 from persimmonspur.core.fleet.progress import Attempt
+from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.core.routing.latency import LatencyEstimator
 from persimmonspur.errors import Ran
@@ -34,6 +35,7 @@
     latency_estimators: RouteLatencyEstimators
     retry_budget: RetryBudget
     cold_start_limit: ColdStartLimit
+    rate_limit: EndpointRateLimit
     response_format: ResponseFormat
     on_decision: Callable[..., None]
     count_send: Callable[[str], None]
@@ -52,7 +54,7 @@
 
 
 def record_endpoint_response(
-    selector: ReplicaSelector,
+    context: ExchangeContext,
     estimator: LatencyEstimator,
     expected_ms: float,
     attempt: Attempt,
@@ -65,11 +67,14 @@
     :param expected_ms: typical latency when the request was sent.
     """
     identity = attempt.endpoint.identity
+    selector = context.selector
     if response.load is not None:
         selector.record_load(identity, response.load[0], response.load[1], now_ms)
     if response.misdirected:
         selector.record_unreachable(identity, attempt.number, now_ms)
         return
+    sent_ms = attempt.record.sent_ms
+    context.rate_limit.record_response(identity, response.rate_limit_per_s, sent_ms, now_ms)
     if response.ran is Ran.NO:
         selector.record_rejected(identity, attempt.number, now_ms)
         return
@@ -77,7 +82,7 @@
     selector.record_response(identity, attempt.number, expected_ms, failed, now_ms)
     if failed:
         return
-    took_ms = now_ms - attempt.record.sent_ms
+    took_ms = now_ms - sent_ms
     estimator.observe(took_ms, now_ms)
     if response.load is None or not response.load[1]:
         # Without a queue at the endpoint, the latency is the service time.
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -165,6 +165,8 @@
         wait_ms = MAX_QUEUE_WAIT_FRACTION * self._route.objective_ms
         if not self._context.selector.has_capacity(endpoint, self._expected_ms, wait_ms, now_ms):
             return False
+        if not self._context.rate_limit.allows(endpoint.identity, now_ms):
+            return False
         if endpoint.cold_until_ms <= now_ms:
             return True
         limits = self._table.services.get(endpoint.service)
@@ -190,6 +192,7 @@
         shard.send_count += 1
         self._attempts.append(record)
         self._context.selector.record_sent(endpoint.identity, number, now_ms)
+        self._context.rate_limit.record_sent(endpoint.identity, now_ms)
         return True
 
     def _record_attempt(
@@ -270,7 +273,7 @@
         self, shard: ShardProgress, attempt: Attempt, response: EndpointResponse, now_ms: float
     ) -> None:
         record_endpoint_response(
-            self._context.selector,
+            self._context,
             self._latency_estimator,
             self._expected_ms,
             attempt,
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -46,6 +46,8 @@
     :param ran: ``NO`` if the response says that the request did not run.
     :param misdirected: whether the address now belongs to another endpoint.
     :param load: numbers of running and waiting requests, if the endpoint reports them.
+    :param rate_limit_per_s: requests per second that the endpoint takes from all instances
+        together, if it names a limit.
     """
 
     status: int
@@ -55,6 +57,7 @@
     ran: Ran
     misdirected: bool = False
     load: tuple[int, int] | None = None
+    rate_limit_per_s: float | None = None
 
 
 @frozen
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -74,6 +74,15 @@
 ENDPOINT_TRUSTED = define_event(
     6207, "endpoint_trusted", "INFO", "no longer avoiding endpoint {endpoint}"
 )
+ENDPOINT_LIMITED = define_event(
+    6208,
+    "endpoint_limited",
+    "INFO",
+    "endpoint {endpoint} takes {rate_per_s} requests per second from all instances together",
+)
+ENDPOINT_LIMIT_ENDED = define_event(
+    6209, "endpoint_limit_ended", "INFO", "endpoint {endpoint} no longer names a limit"
+)
 EVACUATED = define_event(
     6205,
     "evacuated",
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -16,6 +16,7 @@
     RELAY_HEARTBEAT_INTERVAL_MS,
     Membership,
 )
+from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.relays import RelaySelector
 from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE, Member
 from persimmonspur.core.fleet.routes import RouteTable
@@ -108,6 +109,7 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_ms
         )
         self.cold_start_limit = ColdStartLimit(settings.member.name)
+        self.rate_limit = EndpointRateLimit(self.observer.record_rate_limit)
         self.sender = EndpointSender(codecs.endpoint, self._get_max_connections, clock, timers)
         self.exchange_context = ExchangeContext(
             clock,
@@ -118,6 +120,7 @@
             self.latency_estimators,
             self.retry_budget,
             self.cold_start_limit,
+            self.rate_limit,
             codecs.response_format,
             self.observer.record_decision,
             self.observer.metrics.count_send,
@@ -279,6 +282,7 @@
         identities = self.state.endpoints.identities()
         self.selector.retain(identities)
         self.cold_start_limit.retain(identities)
+        self.rate_limit.retain(identities)
         self.sender.retain(identities)
         self._update_limit_shares()
 
@@ -293,6 +297,10 @@
         self.retry_budget.sharing_instances = 2 * sharing_instances
         self.sender.sharing_instances = sharing_instances
         self.selector.sharing_instances = sharing_instances
+        # Clients are directed to the entry set, so the other instances need little.
+        self.rate_limit.sharing_instances = (
+            sharing_instances if self._is_in_entry_set() else max(registered, sharing_instances)
+        )
         self.cold_start_limit.set_participants(
             tuple(sorted(self.membership.limit_participants(self.clock.now_ms())))
         )
@@ -357,6 +365,7 @@
     def _count_endpoints(self) -> dict[str, float]:
         counts = self.state.endpoints.count_states(self.clock.now_ms())
         counts["suspected"] = self.selector.count_suspected()
+        counts["limited"] = self.rate_limit.count_limited()
         return counts
 
     def _get_store_ages(self) -> dict[str, float]:
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -50,6 +50,13 @@
         else:
             self.log.record(events.ENDPOINT_TRUSTED, endpoint=endpoint)
 
+    def record_rate_limit(self, endpoint: str, rate_per_s: float | None) -> None:
+        """Log that an endpoint names a limit, or no longer names one if it is ``None``."""
+        if rate_per_s is not None:
+            self.log.record(events.ENDPOINT_LIMITED, endpoint=endpoint, rate_per_s=rate_per_s)
+        else:
+            self.log.record(events.ENDPOINT_LIMIT_ENDED, endpoint=endpoint)
+
     def record_finished(self, finished: FinishedRequest) -> None:
         """Count a finished request and log it within the rate limit."""
         response = finished.response
--- a/src/persimmonspur/platform/headers.py
+++ b/src/persimmonspur/platform/headers.py
@@ -13,6 +13,8 @@
 SERVER_STAMP = b"X-Server-Stamp"
 NOT_EXECUTED = b"X-Not-Executed"
 SERVER_LOAD = b"X-Server-Load"
+# Requests per second that the endpoint takes from all instances together.
+SERVER_LIMIT = b"Server-Limit"
 PART_STAMPS = b"X-Part-Stamps"
 MISSING_PARTS = b"X-Missing-Parts"
 RETRY_AFTER = b"Retry-After"
@@ -125,6 +127,7 @@
         Ran.NO if not_executed or misdirected else Ran.YES,
         misdirected=misdirected,
         load=_parse_load(find_header(response.headers, SERVER_LOAD)),
+        rate_limit_per_s=_parse_rate(find_header(response.headers, SERVER_LIMIT)),
     )
 
 
@@ -163,6 +166,10 @@
     return number if number >= 0 else None
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    return _parse_non_negative_number(value) if value is not None else None
+
+
 def _parse_load(value: bytes | None) -> tuple[int, int] | None:
     if value is None:
         return None
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -14,6 +14,7 @@
 from persimmonspur.core.fleet.exchange import Exchange
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointResponse, SendFailure
+from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import (
     ClientLimits,
@@ -176,6 +177,7 @@
         self.endpoints = EndpointDirectory()
         self.selector = ReplicaSelector("domain-0", random.Random(seed))
         self.retry_budget = RetryBudget(ratio, slack, 10_000.0)
+        self.rate_limit = EndpointRateLimit()
         self.decisions = []
         self.counts = Counter()
         self.context = ExchangeContext(
@@ -187,6 +189,7 @@
             RouteLatencyEstimators(),
             self.retry_budget,
             ColdStartLimit("instance-0"),
+            self.rate_limit,
             SimResponseFormat(),
             lambda name, **fields: self.decisions.append((name, fields)),
             self._count,
@@ -252,6 +255,8 @@
     """An endpoint with slots and a bounded queue that rejects requests when it is full.
 
     :param work_ms: returns the time that one request occupies a slot.
+    :ivar rate_limit_per_s: limit that it names in its responses, or ``None``.
+    :ivar arrivals_ms: times at which requests arrived.
     """
 
     def __init__(self, clock, timers, slots, queue, work_ms):
@@ -263,15 +268,18 @@
         self.running = 0
         self.waiting = []
         self.rejected = 0
+        self.rate_limit_per_s = None
+        self.arrivals_ms = []
 
     def receive(self, send):
+        self.arrivals_ms.append(self.clock.now_ms())
         if self.running < self.slots:
             self._run(send)
         elif len(self.waiting) < self.max_queue:
             self.waiting.append(send)
         else:
             self.rejected += 1
-            self.timers.call_later(1.0, lambda: send.reply(503, ran=Ran.NO, load=self.load))
+            self.timers.call_later(1.0, lambda: self._reply(send, 503, ran=Ran.NO))
 
     @property
     def load(self):
@@ -287,7 +295,10 @@
             next_send = self.waiting.pop(0)
             if not next_send.cancelled:
                 self._run(next_send)
-        send.reply(200, b"", load=self.load)
+        self._reply(send, 200)
+
+    def _reply(self, send, status, **fields):
+        send.reply(status, b"", load=self.load, rate_limit_per_s=self.rate_limit_per_s, **fields)
 
 
 class LoadSimulation:
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -17,6 +17,7 @@
 )
 
 from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE
 from persimmonspur.entry import instance as entry_instance
 from persimmonspur.entry.eventlog import EventLog, LineWriter
 from persimmonspur.platform.run import build_instance, encode_addresses
@@ -237,6 +238,34 @@
     assert searcher.executed == [] and len(other.executed) == 4
 
 
+def test_searcher_gets_no_more_requests_than_the_limit_that_it_names(deployment):
+    # Guards against a searcher in trouble that gets as many requests as before.
+    limited = deployment.add_searcher("i-1", "s1")
+    limited.respond = lambda headers: limited.build_response(
+        headers, extra=b"Server-Limit: 8.0\r\n"
+    )
+    deployment.configure(make_route())
+    deployment.start()
+    statuses = []
+    for index in range(40):
+        statuses.append(deployment.send_request("/one/x", request_id=f"r{index}")[0])
+        gevent.sleep(0.04)
+    assert set(statuses) == {200, 503}
+    share_per_s = 8.0 / ENTRY_SET_SIZE
+    assert 1 <= len(limited.executed) <= 1 + 2 * share_per_s
+
+
+def test_instance_outside_the_entry_set_takes_a_small_share_of_a_named_limit(pair):
+    # Guards against a limit that every instance of a large fleet uses as if it were in the set.
+    first, _second = pair
+    first.start()
+    for index in range(40):
+        first.instance.membership.register(make_peer(first, index), 0.0)
+    first.instance._update_limit_shares()
+    assert not first.instance.ready
+    assert first.instance.rate_limit.sharing_instances == 41
+
+
 def test_non_idempotent_request_is_not_retried_after_a_lost_response(deployment):
     # Guards against executing a non-idempotent request twice, such as a payment.
     first = deployment.add_searcher("i-1", "s1", respond=lambda headers: None)
@@ -354,6 +383,10 @@
     first.close()
 
 
+def make_peer(deployment, index):
+    return evolve(deployment.instance.settings.member, name=f"peer-{index}")
+
+
 def register_with_each_other(first, second):
     for deployment, peer in ((first, second), (second, first)):
         deployment.instance.membership.register(peer.instance.settings.member, 0.0)
@@ -414,8 +447,7 @@
     first.configure(make_route())
     first.start()
     for index in range(12):
-        member = second.instance.settings.member
-        first.instance.membership.register(evolve(member, name=f"peer-{index}"), 0.0)
+        first.instance.membership.register(make_peer(second, index), 0.0)
     first.instance._run_maintenance()
     assert len(first.instance.membership.live_relays(first.instance.clock.now_ms())) == 1
     assert first.instance.retry_budget.sharing_instances == 8
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -83,6 +84,18 @@
     assert reply.load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(b"9.8", 9.8), (b"0", 0.0), (b" 12 ", 12.0), (b"-1", None), (b"nan", None), (b"fast", None)],
+)
+def test_limit_is_parsed_and_invalid_values_are_ignored(value, expected):
+    response = HttpResponse(200, [(b"server-limit", value)], b"", True)
+    assert headers.parse_endpoint_response(response).rate_limit_per_s == expected
+    assert (
+        headers.parse_endpoint_response(HttpResponse(200, [], b"", True)).rate_limit_per_s is None
+    )
+
+
 def test_merged_response_lists_its_shards():
     response_format = headers.PlatformResponseFormat()
     fields = dict(
