Bound the bytes of a response that never ends

A server in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. The instance read up to 16 MB of a body and any number of header, interim, trailer or unrelated response bytes until the request's deadline, on machines with 150 MB.

A head, interim responses included, may now have 64 KiB, a response of an endpoint 2 MB with its framing, one of the store or a peer 16 MB, and four responses to other requests are skipped. Beyond that the call fails at once with an unknown outcome, so that a repeatable request goes to another endpoint, and the connection is closed. The endpoint adapter of the product's own deployment stops at 4 MB of a body.

test_response_without_end_fails_the_call_and_closes_the_connection failed for all of its nine kinds of bytes before, as did test_body_without_end_fails_the_search_and_closes_the_connection.

--- a/src/persimmonspur/adapters/endpoints.py
+++ b/src/persimmonspur/adapters/endpoints.py
@@ -6,7 +6,7 @@
 
 import gevent
 import msgspec
-from geventhttpclient.response import HTTPSocketResponse
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from persimmonspur.adapters.connections import EndpointConnectionPool
 from persimmonspur.adapters.http import HTTP_ERRORS
@@ -18,6 +18,8 @@
 from persimmonspur.model.query import SnapshotId
 
 CONTROL_TIMEOUT_MS = 1_000.0
+# A faulty endpoint may send a body without end.
+MAX_RESPONSE_BYTES = 4_000_000
 # Connections beyond the slots, so that a cancellation does not wait for a search.
 SPARE_CONNECTIONS = 1
 # Request ids are chosen by callers, so all other characters in header values are escaped.
@@ -205,7 +207,9 @@
         self.sent = True
         self.incarnation = self._pool.get_incarnation(sock)
         response = self._pool.send_request(sock, self._data, self._method)
-        data = bytes(response.read())
+        data = bytes(response.read(MAX_RESPONSE_BYTES + 1))
+        if len(data) > MAX_RESPONSE_BYTES:
+            raise HTTPParseError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
         self._pool.record_incarnation(sock, str(response.get("x-incarnation", "")))
         return response, data
 
--- a/src/persimmonspur/entry/connections.py
+++ b/src/persimmonspur/entry/connections.py
@@ -15,6 +15,9 @@
 IDLE_TIMEOUT_FRACTION = 0.5
 DEFAULT_IDLE_TIMEOUT_MS = 20_000.0
 
+# Responses to other requests that are skipped; a faulty server may send some without end.
+MAX_SKIPPED_RESPONSES = 4
+
 Accepts = Callable[[HttpResponse], bool]
 OnResponse = Callable[[HttpResponse], None]
 OnFailure = Callable[[Ran, str], None]
@@ -94,8 +97,8 @@
         self._pool = pool
         self._call: Call | None = call
         self._stream: Stream | None = None
-        self._parser = ResponseParser(self._on_response)
-        self._unexpected_response = False
+        self._parser = ResponseParser(self._on_response, pool.max_response_bytes)
+        self._skipped_responses = 0
         self.sent = False
         self.idle_until_ms = 0.0
         call.connection = self
@@ -183,14 +186,16 @@
             return
         if not call.accepts(response):
             # A duplicate response to an earlier request; the expected one may still follow.
-            self._unexpected_response = True
+            self._skipped_responses += 1
+            if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+                self._fail(Ran.UNKNOWN, "too many responses to other requests")
             return
         self._call = None
         self.sent = False
         stream = self._stream
         reusable = (
             response.keep_alive
-            and not self._unexpected_response
+            and not self._skipped_responses
             and not self._parser.protocol_error
             and not self._parser.in_message
             and stream is not None
@@ -219,15 +224,24 @@
     :ivar opened_count: number of connections opened so far.
     """
 
-    def __init__(self, address: str, max_connections: int, clock: Clock, timers: Timers) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_connections: int,
+        clock: Clock,
+        timers: Timers,
+        max_response_bytes: int,
+    ) -> None:
         """Create an empty pool; connections are opened on demand.
 
         :param address: ``ip:port``.
+        :param max_response_bytes: size above which a response is a failure.
         """
         self.address = address
         self.max_connections = max_connections
         self.clock = clock
         self.timers = timers
+        self.max_response_bytes = max_response_bytes
         self.opened_count = 0
         self._connections: set[Connection] = set()
         self._idle: list[Connection] = []
--- a/src/persimmonspur/entry/httpclient.py
+++ b/src/persimmonspur/entry/httpclient.py
@@ -15,6 +15,8 @@
 M = TypeVar("M")
 
 MAX_CONNECTIONS = 8
+# Large enough for several configurations of 1 MB in one response of the store.
+MAX_RESPONSE_BYTES = 16_000_000
 
 
 class HttpClient:
@@ -26,7 +28,7 @@
         :param address: ``ip:port``.
         """
         self._address = address
-        self._pool = ConnectionPool(address, MAX_CONNECTIONS, clock, timers)
+        self._pool = ConnectionPool(address, MAX_CONNECTIONS, clock, timers, MAX_RESPONSE_BYTES)
 
     def request(
         self, method: str, path: str, body: bytes, timeout_ms: float
--- a/src/persimmonspur/entry/responses.py
+++ b/src/persimmonspur/entry/responses.py
@@ -10,7 +10,8 @@
 
 from persimmonspur.core.fleet.messages import Headers
 
-MAX_RESPONSE_BYTES = 16_000_000
+# Bytes before the body, interim responses included. A faulty server may send some without end.
+MAX_HEAD_BYTES = 65_536
 
 
 @frozen
@@ -32,7 +33,14 @@
     :ivar protocol_error: why the connection can no longer be used; empty if it can.
     """
 
-    def __init__(self, on_response: Callable[[HttpResponse], None]) -> None:
+    def __init__(
+        self, on_response: Callable[[HttpResponse], None], max_response_bytes: int
+    ) -> None:
+        """Create a parser for one connection.
+
+        :param max_response_bytes: maximum size of one response, its head and framing included.
+        """
+        self._max_response_bytes = max_response_bytes
         self._on_response = on_response
         self._parser = httptools.HttpResponseParser(self)
         self._completed: list[HttpResponse] = []
@@ -42,7 +50,7 @@
         self._has_framing = False
         self._headers: Headers = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._received_bytes = 0
 
     @property
     def in_message(self) -> bool:
@@ -51,14 +59,17 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes, then report the responses that are complete."""
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.protocol_error = "the response switches protocols"
         except httptools.HttpParserError as error:
             self.protocol_error = f"not a response: {error}"
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self.protocol_error = f"a response exceeds {MAX_RESPONSE_BYTES} bytes"
+        if not self._head_complete and self._received_bytes > MAX_HEAD_BYTES:
+            self.protocol_error = f"the head of a response exceeds {MAX_HEAD_BYTES} bytes"
+        elif self._received_bytes > self._max_response_bytes:
+            self.protocol_error = f"a response exceeds {self._max_response_bytes} bytes"
         completed = self._completed
         self._completed = []
         for response in completed:
@@ -88,7 +99,6 @@
         self._has_framing = False
         self._headers = []
         self._body = []
-        self._body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header field (called by the parser)."""
@@ -100,14 +110,13 @@
     def on_headers_complete(self) -> None:
         """Finish the header fields (called by the parser)."""
         status = self._parser.get_status_code()
-        self._head_complete = True
+        self._head_complete = status >= 200
         if status in (204, 304):
             self._has_framing = True
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (called by the parser)."""
         self._body.append(body)
-        self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Finish a response (called by the parser); interim responses are discarded."""
@@ -116,6 +125,7 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        self._received_bytes = 0
         self._completed.append(
             HttpResponse(
                 status,
--- a/src/persimmonspur/entry/sender.py
+++ b/src/persimmonspur/entry/sender.py
@@ -21,6 +21,9 @@
 # Fraction of an endpoint's connection limit that all instances use together.
 USED_CONNECTION_FRACTION = 0.7
 MIN_CONNECTIONS = 2
+# Small enough that several responses without end at once do not use up the memory of a machine
+# with 150 MB.
+MAX_ENDPOINT_RESPONSE_BYTES = 2_000_000
 
 
 class EndpointCodec(Protocol):
@@ -76,7 +79,9 @@
         """
         pool = self._pools.get(endpoint.identity)
         if pool is None:
-            pool = ConnectionPool(endpoint.address, 0, self._clock, self._timers)
+            pool = ConnectionPool(
+                endpoint.address, 0, self._clock, self._timers, MAX_ENDPOINT_RESPONSE_BYTES
+            )
             self._pools[endpoint.identity] = pool
         limit = (
             self._get_max_connections(endpoint.service)
--- a/tests/adapters/test_endpoint_calls.py
+++ b/tests/adapters/test_endpoint_calls.py
@@ -85,6 +85,28 @@
     assert client._pools["e"].in_use == 0
 
 
+def test_body_without_end_fails_the_search_and_closes_the_connection(start):
+    # Guards against a daemon that reads such a body until its memory is used up.
+    closed = []
+
+    def send_without_end(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+        try:
+            while True:
+                sock.sendall(b"x" * 65_536)
+        except OSError:
+            closed.append(True)
+        return False
+
+    server = start(send_without_end)
+    client = HttpEndpointClient(Clock())
+    outcome = search(client, server.endpoint)
+    assert (outcome.error, outcome.ran) == (ErrorKind.UNREACHABLE, Ran.UNKNOWN)
+    gevent.sleep(0.05)
+    assert closed
+    assert client._pools["e"].in_use == 0
+
+
 def test_closed_idle_connection_is_reported_and_not_used(start):
     server = start(send_response)
     client = HttpEndpointClient(Clock())
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -4,6 +4,7 @@
 import struct
 
 import gevent
+import gevent.event
 import pytest
 from gevent.event import AsyncResult
 from gevent.server import StreamServer
@@ -11,6 +12,7 @@
 from persimmonspur.clock import Clock
 from persimmonspur.entry.connections import Call, ConnectionPool, parse_idle_timeout
 from persimmonspur.entry.responses import HttpResponse
+from persimmonspur.entry.sender import MAX_ENDPOINT_RESPONSE_BYTES
 from persimmonspur.entry.timers import LoopTimers
 from persimmonspur.errors import Ran
 
@@ -59,13 +61,32 @@
         server = Server(respond)
         servers.append(server)
         clock = Clock()
-        return server, ConnectionPool(server.address, 4, clock, LoopTimers(clock))
+        timers = LoopTimers(clock)
+        pool = ConnectionPool(server.address, 4, clock, timers, MAX_ENDPOINT_RESPONSE_BYTES)
+        return server, pool
 
     yield start
     for server in servers:
         server.close()
 
 
+# Bytes of a response that never ends: its head, and what follows until the caller closes.
+ENDLESS_RESPONSES = {
+    "header value": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x" * 4_096),
+    "header fields": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: x\r\n" * 300),
+    "blank lines": (b"", b"\r\n" * 2_000),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 150),
+    "responses to other requests": (b"", make_response("other") * 50),
+    "body without a length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 4_096),
+    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 600),
+    "chunk extension": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x" * 4_096),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Filler: x\r\n" * 300,
+    ),
+}
+
+
 def match_request_id(request_id):
     def accepts(response):
         return (b"X-Request-Id", request_id.encode()) in response.headers
@@ -119,6 +140,35 @@
     assert server.connections == 2
 
 
+@pytest.mark.parametrize("name", list(ENDLESS_RESPONSES))
+def test_response_without_end_fails_the_call_and_closes_the_connection(start_server, name):
+    # Guards against an instance that reads such bytes until its memory or processor is used up.
+    head, filler = ENDLESS_RESPONSES[name]
+    sent_bytes = 0
+    closed = gevent.event.Event()
+
+    def respond(request_id, sock):
+        nonlocal sent_bytes
+        if request_id != "r1":
+            return make_response(request_id)
+        sock.sendall(head)
+        while True:
+            try:
+                sock.sendall(filler)
+            except OSError:
+                closed.set()
+                return None
+            sent_bytes += len(filler)
+
+    _, pool = start_server(respond)
+    ran, reason = call_and_wait(pool, "r1", timeout_ms=4_000.0)
+    assert ran is Ran.UNKNOWN and reason != "no response in time"
+    assert closed.wait(1.0)
+    # What lies in the buffers of the sockets comes on top of the limit.
+    assert sent_bytes < MAX_ENDPOINT_RESPONSE_BYTES + 8_000_000
+    assert call_and_wait(pool, "r2").body == b"abc"
+
+
 def test_duplicate_response_on_an_idle_connection_closes_it(start_server):
     def respond(request_id, sock):
         gevent.spawn_later(0.05, sock.sendall, make_response(request_id, b"late"))
--- a/tests/entry/test_connections_machine.py
+++ b/tests/entry/test_connections_machine.py
@@ -12,6 +12,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.entry.connections import Call, ConnectionPool
+from persimmonspur.entry.httpclient import MAX_RESPONSE_BYTES
 from persimmonspur.entry.timers import LoopTimers
 from persimmonspur.errors import Ran
 
@@ -100,7 +101,9 @@
         self.server.start()
         clock = Clock()
         address = f"127.0.0.1:{self.server.server_port}"
-        self.pool = ConnectionPool(address, CONNECTIONS, clock, LoopTimers(clock))
+        self.pool = ConnectionPool(
+            address, CONNECTIONS, clock, LoopTimers(clock), MAX_RESPONSE_BYTES
+        )
         self.number = 0
 
     def serve(self, sock, address):
--- a/tests/entry/test_responses.py
+++ b/tests/entry/test_responses.py
@@ -11,7 +11,7 @@
 
 def read(*chunks):
     responses = []
-    parser = ResponseParser(responses.append)
+    parser = ResponseParser(responses.append, 1_000_000)
     for chunk in chunks:
         parser.feed(chunk)
     return parser, responses
