Wait for the server's greenlet in the test of the object API's connections

test_connections_survive_calls_that_end_while_sending counts the connections that a server in the same process accepted.

--- a/tests/adapters/test_objectapi.py
+++ b/tests/adapters/test_objectapi.py
@@ -87,6 +87,10 @@
     api = HttpObjectApi(f"127.0.0.1:{server.server_port}", timeout_ms=30)
     for _ in range(MAX_CONNECTIONS + 1):
         assert api.write("key", b"x" * 20_000_000, 0).is_error()
+    # On a busy machine a call may time out before the server's greenlet ran.
+    with gevent.Timeout(5.0):
+        while len(served) < MAX_CONNECTIONS + 1:
+            gevent.sleep(0.01)
     release.set()
     assert len(served) == MAX_CONNECTIONS + 1
     server.stop()
