Take the own readiness into account before dividing the limits

An instance whose membership did not know yet that it is ready counted no relay, not even itself, until its next heartbeat tick, so the maintenance run in between divided the limits by another set. Maintenance now passes the readiness on first.

--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -279,6 +279,7 @@
         self.timers.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
         now_ms = self.clock.now_ms()
         self._record_stall(now_ms)
+        self.membership.own_ready = self.ready
         identities = self.state.endpoints.identities()
         self.selector.retain(identities)
         self.cold_start_limit.retain(identities)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -446,6 +446,9 @@
     first, second = pair
     first.configure(make_route())
     first.start()
+    with gevent.Timeout(5.0):
+        while not first.instance.ready:
+            gevent.sleep(0.01)
     for index in range(12):
         first.instance.membership.register(make_peer(second, index), 0.0)
     first.instance._run_maintenance()
