Move the choice of an endpoint out of the exchange

Which endpoint has room for a request (queue, named limit, cold start) is a decision of its own, now in core/fleet/admission.py. No change of behaviour: tests of core/fleet, entry and platform pass as before.

--- /dev/null
+++ b/src/persimmonspur/core/fleet/admission.py
@@ -0,0 +1,69 @@
+"""Choice of an endpoint that has room for one request.
+
+Answers overload and cold starts: an endpoint whose queue is too long, that names a rate limit
+or that is still cold gets no more than it can handle, and a request for which no endpoint has
+room is rejected before anything is sent.
+"""
+
+from collections.abc import Container
+
+from persimmonspur.core.fleet.context import ExchangeContext
+from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.routes import Route, RouteTable
+
+# Fraction of the latency objective that a request may wait for a slot at an endpoint.
+MAX_QUEUE_WAIT_FRACTION = 0.35
+
+
+class EndpointChooser:
+    """Chooses endpoints for the sends of one request."""
+
+    def __init__(
+        self, context: ExchangeContext, table: RouteTable, route: Route, expected_ms: float
+    ) -> None:
+        """Create a chooser.
+
+        :param table: route table that selected the route.
+        :param expected_ms: typical time that an endpoint takes for such a request.
+        """
+        self._context = context
+        self._table = table
+        self._max_wait_ms = MAX_QUEUE_WAIT_FRACTION * route.objective_ms
+        self._expected_ms = expected_ms
+
+    def choose(self, service: str, tried: Container[str], now_ms: float) -> Endpoint | None:
+        """Return the best endpoint of a service that may get the request now.
+
+        :param tried: identities of the endpoints that the request was sent to before.
+        """
+        candidates = []
+        for endpoint in self._context.endpoints.usable(service):
+            if endpoint.identity in tried:
+                continue
+            candidates.append(endpoint)
+        while candidates:
+            chosen = self._context.selector.pick(candidates, self._expected_ms, now_ms)
+            if chosen is None:
+                return None
+            if self._try_admit(chosen, now_ms):
+                return chosen
+            candidates.remove(chosen)
+        return None
+
+    def has_free_slot(self, endpoint: Endpoint, now_ms: float) -> bool:
+        """Return whether the endpoint would start to work on the request at once."""
+        return self._context.selector.has_capacity(endpoint, self._expected_ms, 0.0, now_ms)
+
+    def _try_admit(self, endpoint: Endpoint, now_ms: float) -> bool:
+        context = self._context
+        if not context.selector.has_capacity(
+            endpoint, self._expected_ms, self._max_wait_ms, now_ms
+        ):
+            return False
+        if not context.rate_limit.allows(endpoint.identity, now_ms):
+            return False
+        if endpoint.cold_until_ms <= now_ms:
+            return True
+        limits = self._table.services.get(endpoint.service)
+        rate_per_s = limits.cold_per_s if limits is not None else 0.0
+        return context.cold_start_limit.try_acquire(endpoint.identity, rate_per_s, now_ms)
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -7,6 +7,7 @@
 import itertools
 from collections.abc import Callable
 
+from persimmonspur.core.fleet.admission import EndpointChooser
 from persimmonspur.core.fleet.context import (
     ExchangeContext,
     record_endpoint_response,
@@ -41,8 +42,6 @@
 HEDGE_RECHECK_FRACTION = 0.15
 # A request is not sent with less than this time left.
 MIN_SEND_TIMEOUT_MS = 5.0
-# Fraction of the latency objective that a request may wait for a slot at an endpoint.
-MAX_QUEUE_WAIT_FRACTION = 0.35
 RETRY_AFTER_UNAVAILABLE_MS = 400.0
 # Retry delay given to clients that are rejected because all endpoints are full, in multiples
 # of the latency objective: about the time in which a full queue drains. The jitter spreads
@@ -70,17 +69,18 @@
     ) -> None:
         """Prepare a request; nothing is sent yet.
 
+        :param table: route table that selected the route.
         :param services: one service per shard of a gather, or the one service of the route.
         :param respond: called once with the response, unless the client disconnects first.
         """
         self._context = context
-        self._table = table
         self._route = route
         self._request = request
         self._respond = respond
         self._shards = [ShardProgress(service) for service in services]
         self._latency_estimator = context.latency_estimators.get(route.name, route.objective_ms)
         self._expected_ms = max(0.5, self._latency_estimator.mean_service_ms)
+        self._chooser = EndpointChooser(context, table, route, self._expected_ms)
         wait_ms = route.timeout_ms
         if request.timeout_ms is not None:
             wait_ms = min(wait_ms, request.timeout_ms)
@@ -98,7 +98,8 @@
     def start(self) -> None:
         """Send to every service, or reject the request if too few have a usable endpoint."""
         now_ms = self._context.clock.now_ms()
-        endpoints = [self._choose_endpoint(shard, now_ms) for shard in self._shards]
+        choose = self._chooser.choose
+        endpoints = [choose(shard.service, shard.tried, now_ms) for shard in self._shards]
         if not self._is_enough(sum(chosen is not None for chosen in endpoints)):
             self._reject_at_start()
             return
@@ -146,33 +147,6 @@
             delay_ms = max(0.0, PARTIAL_RESPONSE_FRACTION * objective_ms - elapsed_ms)
             self._timers.append(timers.call_later(delay_ms, self._allow_partial))
 
-    def _choose_endpoint(self, shard: ShardProgress, now_ms: float) -> Endpoint | None:
-        candidates = []
-        for endpoint in self._context.endpoints.usable(shard.service):
-            if endpoint.identity in shard.tried:
-                continue
-            candidates.append(endpoint)
-        while candidates:
-            chosen = self._context.selector.pick(candidates, self._expected_ms, now_ms)
-            if chosen is None:
-                return None
-            if self._try_admit(chosen, now_ms):
-                return chosen
-            candidates.remove(chosen)
-        return None
-
-    def _try_admit(self, endpoint: Endpoint, now_ms: float) -> bool:
-        wait_ms = MAX_QUEUE_WAIT_FRACTION * self._route.objective_ms
-        if not self._context.selector.has_capacity(endpoint, self._expected_ms, wait_ms, now_ms):
-            return False
-        if not self._context.rate_limit.allows(endpoint.identity, now_ms):
-            return False
-        if endpoint.cold_until_ms <= now_ms:
-            return True
-        limits = self._table.services.get(endpoint.service)
-        rate_per_s = limits.cold_per_s if limits is not None else 0.0
-        return self._context.cold_start_limit.try_acquire(endpoint.identity, rate_per_s, now_ms)
-
     def _send(self, shard: ShardProgress, endpoint: Endpoint, kind: AttemptKind) -> bool:
         now_ms = self._context.clock.now_ms()
         number = next(_attempt_numbers)
@@ -218,7 +192,7 @@
         """
         now_ms = self._context.clock.now_ms()
         while shard.send_count < self._route.max_attempts:
-            endpoint = self._choose_endpoint(shard, now_ms)
+            endpoint = self._chooser.choose(shard.service, shard.tried, now_ms)
             if endpoint is None:
                 break
             if is_retry and not self._context.retry_budget.try_acquire(
@@ -344,10 +318,10 @@
             )
 
     def _hedge_shard(self, shard: ShardProgress, now_ms: float) -> bool:
-        endpoint = self._choose_endpoint(shard, now_ms)
+        endpoint = self._chooser.choose(shard.service, shard.tried, now_ms)
         if endpoint is None:
             return False
-        if not self._context.selector.has_capacity(endpoint, self._expected_ms, 0.0, now_ms):
+        if not self._chooser.has_free_slot(endpoint, now_ms):
             # Without a free slot a hedge would only delay other requests.
             return False
         if not self._context.retry_budget.try_acquire(shard.service, now_ms, hedge=True):
