--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -16,9 +16,9 @@
 T = TypeVar("T")
 
 WATCH_TIMEOUT_MS = 20_000.0
-# Watch timeout after a failed call, and after changes where watches are verified. A store that
-# hung never answers the calls it received meanwhile, so a long watch that was sent then would
-# delay noticing its recovery.
+# Watch timeout after a list, after a failed call, and after changes where watches are verified.
+# A store that hung never answers the calls it received meanwhile, so a long watch that was sent
+# then would delay noticing its recovery.
 PROBE_TIMEOUT_MS = 1_000.0
 # The first list has a short timeout because a store that hung and recovered answers only
 # the next call. The timeout doubles up to the maximum to allow for a slow store.
@@ -208,7 +208,7 @@
             self._back_off(listed.error, started_ms)
             return
         self._record_success()
-        self._probing = self._verifies_watches()
+        self._probing = True
         self._on_snapshot(listed.ok, self._is_recovering())
         self.revision = listed.ok.revision
         self.newest_revision = max(self.newest_revision, listed.ok.newest_revision)
