--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -86,7 +86,7 @@
         if self.silent:
             Event().wait(SILENCE_S)
         if self.down:
-            return self._respond(start_response, 503, {"error": "down"})
+            return self.respond_unavailable(start_response)
         path_parts = unquote(url.path).removeprefix("/-/objects/").split("/")
         status, document = self._execute(method, path_parts, query, body)
         if method != "GET" and self.responses_to_lose:
@@ -138,6 +138,19 @@
         changes = [{"object": item, "removed": removed} for _, _, item, removed in found]
         return 200, {"events": changes, "store_revision": self.revision}
 
+    def open_front(self):
+        """Return another address of this store, with faults of its own."""
+        return StoreFront(self)
+
+    def handle(self, environ, start_response):
+        """Serve one request that came in at a front."""
+        return self._handle(environ, start_response)
+
+    @staticmethod
+    def respond_unavailable(start_response):
+        """Reject one request because the store is down."""
+        return FakeStore._respond(start_response, 503, {"error": "down"})
+
     @staticmethod
     def _respond(start_response, status, document):
         data = json.dumps(document).encode()
@@ -146,6 +159,36 @@
         return [data]
 
 
+class StoreFront:
+    """One address of a fake store; its faults affect only those who use this address.
+
+    :ivar down: whether every request is answered with status 503.
+    :ivar silent: whether requests are left unanswered, also once others are answered again.
+        Requests received before are answered when the silence ends.
+    """
+
+    def __init__(self, store):
+        self.down = False
+        self.silent = False
+        self._store = store
+        self._server = WSGIServer(("127.0.0.1", 0), self._handle, log=None, error_log=None)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def close(self):
+        self._server.stop(timeout=0.1)
+
+    def _handle(self, environ, start_response):
+        if self.silent:
+            Event().wait(SILENCE_S)
+        if self.down:
+            return FakeStore.respond_unavailable(start_response)
+        data = self._store.handle(environ, start_response)
+        while self.silent:
+            gevent.sleep(0.02)
+        return data
+
+
 @define(eq=False)
 class FakeSearcher:
     """A search server.
