Keep a named limit while the endpoint rejects requests without naming it

Found by reading the change: an endpoint whose queue is full may reject a request without its limit in the response. That ended the limit at the instance, so the next request was sent at once, the more often the more the endpoint rejected. Only a response to a request that ran ends a limit now. test_rejection_does_not_end_a_limit did not hold before.

--- a/src/persimmonspur/core/fleet/context.py
+++ b/src/persimmonspur/core/fleet/context.py
@@ -74,7 +74,9 @@
         selector.record_unreachable(identity, attempt.number, now_ms)
         return
     sent_ms = attempt.record.sent_ms
-    context.rate_limit.record_response(identity, response.rate_limit_per_s, sent_ms, now_ms)
+    context.rate_limit.record_response(
+        identity, response.rate_limit_per_s, response.ran, sent_ms, now_ms
+    )
     if response.ran is Ran.NO:
         selector.record_rejected(identity, attempt.number, now_ms)
         return
--- a/src/persimmonspur/core/fleet/ratelimit.py
+++ b/src/persimmonspur/core/fleet/ratelimit.py
@@ -8,6 +8,8 @@
 
 from attrs import define
 
+from persimmonspur.errors import Ran
+
 # An endpoint is asked at least this often by all instances together: only its responses show
 # that its limit has ended.
 MIN_RATE_PER_S = 0.5
@@ -49,19 +51,26 @@
         self.sharing_instances = 1
 
     def record_response(
-        self, identity: str, rate_per_s: float | None, sent_ms: float, now_ms: float
+        self,
+        identity: str,
+        rate_per_s: float | None,
+        ran: Ran,
+        sent_ms: float,
+        now_ms: float,
     ) -> None:
         """Update the limit of an endpoint from one of its responses.
 
+        A response without a limit ends the limit only if the endpoint ran its request, since
+        an endpoint in trouble may reject requests without naming its limit, and only if the
+        request was sent after the limit was named, since responses may arrive out of order.
+
         :param rate_per_s: requests per second that it takes from all instances together;
             ``None`` if the response names no limit.
-        :param sent_ms: local time at which the request of the response was sent. A response
-            without a limit ends the limit only if its request was sent after the limit was
-            named: the endpoint may have written an older one before.
+        :param sent_ms: local time at which the request of the response was sent.
         """
         state = self._states.get(identity)
         if rate_per_s is None:
-            if state is not None and sent_ms >= state.named_ms:
+            if state is not None and ran is not Ran.NO and sent_ms >= state.named_ms:
                 del self._states[identity]
                 self._on_change(identity, None)
             return
--- a/tests/core/fleet/test_ratelimit.py
+++ b/tests/core/fleet/test_ratelimit.py
@@ -4,6 +4,7 @@
 
 from fleetsim import LoadSimulation, SimTier, make_gather_route, make_route
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
+from persimmonspur.errors import Ran
 
 # Bound of the platform: requests that an endpoint may get in any window, beyond its limit.
 WINDOW_MS = 4_000.0
@@ -46,17 +47,25 @@
 
 def test_limit_ends_with_a_response_without_one():
     limit = EndpointRateLimit()
-    limit.record_response("e", 1.0, 0.0, 10.0)
+    limit.record_response("e", 1.0, Ran.YES, 0.0, 10.0)
     assert not limit.allows("e", 1_009.0)
-    limit.record_response("e", None, 20.0, 1_009.0)
+    limit.record_response("e", None, Ran.YES, 20.0, 1_009.0)
     assert limit.allows("e", 1_009.0)
 
 
 def test_response_to_an_earlier_request_does_not_end_a_limit():
     # Guards against a limit that is lost because responses arrive out of order.
     limit = EndpointRateLimit()
-    limit.record_response("e", 1.0, 0.0, 10.0)
-    limit.record_response("e", None, 9.0, 30.0)
+    limit.record_response("e", 1.0, Ran.YES, 0.0, 10.0)
+    limit.record_response("e", None, Ran.YES, 9.0, 30.0)
+    assert not limit.allows("e", 40.0)
+
+
+def test_rejection_does_not_end_a_limit():
+    # Guards against an endpoint that gets more requests the more it rejects.
+    limit = EndpointRateLimit()
+    limit.record_response("e", 1.0, Ran.YES, 0.0, 10.0)
+    limit.record_response("e", None, Ran.NO, 20.0, 30.0)
     assert not limit.allows("e", 40.0)
 
 
@@ -64,7 +73,7 @@
     # Guards against an endpoint that stays unused because nobody learns that its limit ended.
     limit = EndpointRateLimit()
     limit.sharing_instances = 4
-    limit.record_response("e", 0.0, 0.0, 0.0)
+    limit.record_response("e", 0.0, Ran.YES, 0.0, 0.0)
     assert not limit.allows("e", 4_000.0)
     assert limit.allows("e", 8_000.0)
 
@@ -74,7 +83,7 @@
     sim = SimTier()
     route = make_gather_route(shards=2, min_share=1.0)
     sim.add_service("shard-0", replicas=1)
-    sim.rate_limit.record_response("shard-0-0", 1.0, 0.0, sim.clock.now_ms())
+    sim.rate_limit.record_response("shard-0-0", 1.0, Ran.YES, 0.0, sim.clock.now_ms())
     sim.timers.advance(1_000)
     _, responses = sim.start(route)
     assert responses[0].status == 503
@@ -86,7 +95,7 @@
 def test_request_is_rejected_at_once_if_all_endpoints_reached_their_limit():
     sim = SimTier()
     sim.add_service("single", replicas=1)
-    sim.rate_limit.record_response("single-0", 1.0, 0.0, sim.clock.now_ms())
+    sim.rate_limit.record_response("single-0", 1.0, Ran.YES, 0.0, sim.clock.now_ms())
     _, responses = sim.start(make_route())
     assert (responses[0].status, responses[0].outcome) == (503, "full")
     assert sim.sender.sends == []
