Read the body of an endpoint's response in blocks

Reading up to the limit of 4 MB in one call makes the client library allocate that much for each receive. The limit and its test are the same; tests/adapters pass.

--- a/src/persimmonspur/adapters/endpoints.py
+++ b/src/persimmonspur/adapters/endpoints.py
@@ -20,6 +20,7 @@
 CONTROL_TIMEOUT_MS = 1_000.0
 # A faulty endpoint may send a body without end.
 MAX_RESPONSE_BYTES = 4_000_000
+READ_BLOCK_BYTES = 65_536
 # Connections beyond the slots, so that a cancellation does not wait for a search.
 SPARE_CONNECTIONS = 1
 # Request ids are chosen by callers, so all other characters in header values are escaped.
@@ -207,13 +208,20 @@
         self.sent = True
         self.incarnation = self._pool.get_incarnation(sock)
         response = self._pool.send_request(sock, self._data, self._method)
-        data = bytes(response.read(MAX_RESPONSE_BYTES + 1))
-        if len(data) > MAX_RESPONSE_BYTES:
-            raise HTTPParseError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
+        data = _read_body(response)
         self._pool.record_incarnation(sock, str(response.get("x-incarnation", "")))
         return response, data
 
 
+def _read_body(response: HTTPSocketResponse) -> bytes:
+    data = bytearray()
+    while block := response.read(READ_BLOCK_BYTES):
+        data += block
+        if len(data) > MAX_RESPONSE_BYTES:
+            raise HTTPParseError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
+    return bytes(data)
+
+
 def _ignore_idle_close(name: str) -> None:
     """Do nothing; the default idle close listener."""
 
