Log the era of the store and the revision from which a feed continues

To tell the hypotheses apart: nothing showed that the store had been restored, nor whether a feed listed it or went on watching. store_restored has the era and the revisions known, store_regained the revision (0: the feed lists). No change of behaviour.

--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -33,7 +33,8 @@
     6102,
     "store_regained",
     "INFO",
-    "store calls for {feed} succeed again after {failed_calls} failed calls",
+    "store calls for {feed} succeed again after {failed_calls} failed calls, "
+    "at revision {revision}",
 )
 ENTRY_REJECTED = define_event(
     6103, "entry_rejected", "WARNING", "ignoring invalid {kind} entry in the store: {reason}"
@@ -56,6 +57,12 @@
 SOURCE_CHANGED = define_event(
     6107, "source_changed", "INFO", "receiving changes from {source}: {reason}"
 )
+STORE_RESTORED = define_event(
+    6108,
+    "store_restored",
+    "WARNING",
+    "the store was restored from an older copy; era {era} begins",
+)
 CONFIGURATION_IN_EFFECT = define_event(
     6201, "configuration_in_effect", "INFO", "configuration {version} is in effect"
 )
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -97,7 +97,7 @@
         source: Source[T],
         on_snapshot: Callable[[Snapshot[T], bool], None],
         on_updates: Callable[[Updates[T], bool], None],
-        on_store_call: Callable[[str, Failure | None], None],
+        on_store_call: Callable[[str, Failure | None, int], None],
         clock: Clock,
         rng: random.Random,
         batch_delay_ms: float = 0.0,
@@ -109,8 +109,8 @@
             unavailable.
         :param on_updates: called with changes and whether the store was recently
             unavailable.
-        :param on_store_call: called after each store call with the feed's name and the
-            failure, if any.
+        :param on_store_call: called after each store call with the feed's name, the
+            failure, if any, and the revision from which the feed continued.
         :param batch_delay_ms: delay before the next watch after changes, so that a burst
             of changes needs few calls.
         :param verifies_watches: returns whether the watch after changes is short at first, to
@@ -265,10 +265,10 @@
             self._recovered_ms = self.last_success_ms
             if self.on_store_recovered is not None:
                 self.on_store_recovered(self._outage_started_ms)
-        self._on_store_call(self.name, None)
+        self._on_store_call(self.name, None, self.revision)
 
     def _back_off(self, failure: Failure, started_ms: float) -> None:
-        self._on_store_call(self.name, failure)
+        self._on_store_call(self.name, failure, self.revision)
         if not self._backoff_ms:
             self._outage_started_ms = started_ms
         self._backoff_ms = min(BACKOFF_MAX_MS, max(BACKOFF_FIRST_MS, self._backoff_ms * 2))
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -70,8 +70,11 @@
             events.REQUEST_ANSWERED, notable, lambda: _describe_finished(finished)
         )
 
-    def record_store_call(self, feed: str, failure: Failure | None) -> None:
-        """Count a store call; logs only the first failure in a row and the recovery."""
+    def record_store_call(self, feed: str, failure: Failure | None, revision: int = 0) -> None:
+        """Count a store call; logs only the first failure in a row and the recovery.
+
+        :param revision: revision from which the feed continues.
+        """
         self.metrics.count_store_call(feed, "ok" if failure is None else "failed")
         failures = self._failure_counts.get(feed, 0)
         if failure is not None:
@@ -81,7 +84,9 @@
             return
         if failures:
             del self._failure_counts[feed]
-            self.log.record(events.STORE_REGAINED, feed=feed, failed_calls=failures)
+            self.log.record(
+                events.STORE_REGAINED, feed=feed, failed_calls=failures, revision=revision
+            )
 
 
 def _describe_finished(finished: FinishedRequest) -> dict[str, Any]:
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -181,6 +181,18 @@
             feed.restart_call_sent_since(outage_started_ms)
         self.store_recovered.set()
 
+    def handle_new_era(self, era: int) -> None:
+        """Log that the store was restored from an older copy.
+
+        :param era: number of the restored store's era.
+        """
+        self._observer.log.record(
+            events.STORE_RESTORED,
+            era=era,
+            version=self.version,
+            revisions={feed.name: feed.known_revision for feed in self.feeds},
+        )
+
     def get_client_limits(self) -> ClientLimits:
         """Return the limits for client requests."""
         table = self.routes.table
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -168,7 +168,9 @@
     )
     codec = PlatformCodec()
     codecs = Codecs(codec, codec, headers.PlatformResponseFormat())
-    return EntryInstance(instance_settings, sources, codecs, clock, timers, log)
+    instance = EntryInstance(instance_settings, sources, codecs, clock, timers, log)
+    store.on_new_era = instance.state.handle_new_era
+    return instance
 
 
 def encode_addresses(instance: EntryInstance, settings: EntrySettings) -> bytes:
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's object store."""
 
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -8,8 +9,10 @@
 from expression import Error, Ok, Result
 
 from persimmonspur.entry.httpclient import HttpClient
+from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.errors import ErrorKind, Failure
 from persimmonspur.platform.documents import StoreObject
+from persimmonspur.platform.headers import find_header
 
 CONFIGURATION_KIND = "config"
 ENDPOINT_KIND = "servers"
@@ -20,6 +23,8 @@
 # A watch is answered at most this long after its requested wait has ended.
 WATCH_MARGIN_MS = 1_500.0
 STATUS_GONE = 410
+# Counts how often the store was restored from an older copy.
+STORE_ERA = b"Store-Era"
 
 
 class _List(msgspec.Struct):
@@ -74,10 +79,16 @@
 
 
 class PlatformStore:
-    """Client of the store's HTTP API; it never retries a request."""
+    """Client of the store's HTTP API; it never retries a request.
+
+    :ivar era: highest era that the store has announced; 0 if it announces none.
+    :ivar on_new_era: called with each higher era after the first one.
+    """
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
+        self.era = 0
+        self.on_new_era: Callable[[int], None] | None = None
 
     def list(self, kind: str, timeout_ms: float = CALL_TIMEOUT_MS) -> Result[Listing, Failure]:
         """Return all objects of a kind, reading page by page.
@@ -146,6 +157,7 @@
         if result.is_error():
             return Error(result.error)
         response = result.ok
+        self._observe_era(response)
         if 200 <= response.status < 300:
             return Ok(response.body)
         kinds = {
@@ -156,6 +168,20 @@
         kind = kinds.get(response.status, ErrorKind.STORE_UNAVAILABLE)
         return Error(Failure.of(kind, f"store: {method} {path} returned status {response.status}"))
 
+    def _observe_era(self, response: HttpResponse) -> None:
+        era = _parse_era(response)
+        if era <= self.era:
+            return
+        known = self.era
+        self.era = era
+        if known and self.on_new_era is not None:
+            self.on_new_era(era)
+
+
+def _parse_era(response: HttpResponse) -> int:
+    value = find_header(response.headers, STORE_ERA)
+    return int(value) if value is not None and value.isdigit() else 0
+
 
 def _convert_object(item: Any) -> StoreObject | None:
     try:
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -53,7 +53,7 @@
             source,
             lambda snapshot, outage: received.append((snapshot, outage)),
             lambda updates, outage: received.append((updates, outage)),
-            lambda name, failure: call_results.append(failure is None),
+            lambda name, failure, revision: call_results.append(failure is None),
             Clock(),
             random.Random(1),
             **options,
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -96,7 +96,7 @@
             source,
             lambda snapshot, recovering: None,
             on_updates,
-            lambda name, failure: None,
+            lambda name, failure, revision: None,
             clock,
             random.Random(1),
         )
