Reproduce the missed changes after a restore in two failing tests

The fake store sends its era and can be restored from a copy, after which it gives out revisions again. Both tests fail on this code, as listed: an instance watches on from a revision that the store has given out again, and one without access to the store takes a peer with a smaller revision for outdated.

--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -21,6 +21,7 @@
     :ivar silent: whether requests are left unanswered, also once the store answers others
         again.
     :ivar responses_to_lose: number of coming writes that are executed but not answered.
+    :ivar era: number of the store's current history, sent with every response.
     """
 
     def __init__(self):
@@ -32,6 +33,7 @@
         self.down = False
         self.silent = False
         self.responses_to_lose = 0
+        self.era = 1
         self.page_size = 500
         self._changed = Event()
         self._server = WSGIServer(("127.0.0.1", 0), self._handle, log=None, error_log=None)
@@ -69,6 +71,22 @@
         self.revision += 1
         self._notify_watches()
 
+    def take_copy(self):
+        """Return a copy of all objects, to restore the store from."""
+        objects = {kind: dict(items) for kind, items in self.objects.items()}
+        return objects, self.revision, list(self.events)
+
+    def restore(self, copy):
+        """Lose all changes since a copy; their revisions are given out again.
+
+        Watches that wait are cut off.
+        """
+        objects, self.revision, self.events = copy
+        self.objects.clear()
+        self.objects.update(objects)
+        self.era += 1
+        self._notify_watches()
+
     def _add_event(self, kind, item, removed):
         self.events.append((self.revision, kind, item, removed))
         self._notify_watches()
@@ -86,14 +104,14 @@
         if self.silent:
             Event().wait(SILENCE_S)
         if self.down:
-            return self.respond_unavailable(start_response)
+            return self.respond_unavailable(start_response, self.era)
         path_parts = unquote(url.path).removeprefix("/-/objects/").split("/")
         status, document = self._execute(method, path_parts, query, body)
         if method != "GET" and self.responses_to_lose:
             self.responses_to_lose -= 1
             environ["wsgi.input"].rfile.close()
             raise ConnectionResetError("response lost")
-        return self._respond(start_response, status, document)
+        return self._respond(start_response, status, document, self.era)
 
     def _execute(self, method, path_parts, query, body):
         kind = path_parts[0]
@@ -125,9 +143,12 @@
         }
 
     def _watch(self, kind, revision, wait_ms):
+        era = self.era
         with gevent.Timeout(wait_ms / 1000, False):
             while True:
-                if revision < self.oldest_revision:
+                if self.era != era:
+                    return 503, {}
+                if not self.oldest_revision <= revision <= self.revision:
                     return 410, {}
                 events = [event for event in self.events if event[0] > revision]
                 found = [event for event in events if event[1] == kind]
@@ -147,14 +168,18 @@
         return self._handle(environ, start_response)
 
     @staticmethod
-    def respond_unavailable(start_response):
+    def respond_unavailable(start_response, era=1):
         """Reject one request because the store is down."""
-        return FakeStore._respond(start_response, 503, {"error": "down"})
+        return FakeStore._respond(start_response, 503, {"error": "down"}, era)
 
     @staticmethod
-    def _respond(start_response, status, document):
+    def _respond(start_response, status, document, era=1):
         data = json.dumps(document).encode()
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+            ("Store-Era", str(era)),
+        ]
         start_response(f"{status} Status", headers)
         return [data]
 
--- /dev/null
+++ b/tests/platform/test_restored.py
@@ -0,0 +1,63 @@
+"""Tests of entry instances whose store is restored from an older copy."""
+
+import gevent
+import pytest
+from deployments import Deployment, register_with_each_other
+from platformsim import make_route
+
+# Time limit of the platform for applying a configuration.
+CONFIGURATION_TIMEOUT_S = 3.0
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    deployment = Deployment(tmp_path)
+    deployment.add_searcher("i-1", "s1")
+    deployment.add_searcher("i-2", "s2")
+    deployment.configure(make_route())
+    deployment.start()
+    yield deployment
+    deployment.close()
+
+
+def test_change_at_a_revision_that_was_given_out_before_is_not_missed(deployment):
+    # Guards against a watch that continues from a revision of a history that was lost.
+    copy = deployment.store.take_copy()
+    deployment.configure(make_route(), version=2)
+    deployment.configure(make_route(), version=3)
+    gevent.sleep(0.5)
+    deployment.store.down = True
+    deployment.store.restore(copy)
+    gevent.sleep(0.2)
+    deployment.configure(make_route(), version=3)
+    deployment.configure(make_route(service="s2"), version=4)
+    deployment.store.down = False
+    gevent.sleep(CONFIGURATION_TIMEOUT_S)
+    assert deployment.send_request("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+
+
+def test_peer_in_a_newer_era_is_ahead_whatever_its_revision(tmp_path):
+    # Guards against an instance without store access that compares revisions of two histories.
+    first = Deployment(tmp_path, name="front-1")
+    front = first.store.open_front()
+    second = Deployment(tmp_path, store=front, name="front-2")
+    try:
+        first.add_searcher("i-1", "s1")
+        first.add_searcher("i-2", "s2")
+        copy = first.store.take_copy()
+        first.configure(make_route(), version=1)
+        for version in range(2, 5):
+            first.configure(make_route(), version=version)
+        first.start()
+        second.start()
+        register_with_each_other(first, second)
+        gevent.sleep(0.3)
+        front.silent = True
+        first.store.restore(copy)
+        first.configure(make_route(service="s2"), version=5)
+        gevent.sleep(2 * CONFIGURATION_TIMEOUT_S)
+        assert second.send_request("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+    finally:
+        second.close()
+        front.close()
+        first.close()
