Compare positions of the store by era before revision

Callers saw an old configuration, and 404 for added routes, for as long as no further change came: a store restored from an older copy gives revisions out again, and an instance that watched on from such a revision was answered as if it had missed nothing. Peers could not tell, since they compared revisions of two histories.

A position is now an era and a revision, in feeds, relays, heartbeats and the state of peers. A watch that is answered from another era counts as history that is gone, so the feed lists; a relay sends a follower of another era to the store; a peer of a later era is ahead whatever its revision. An instance that notices the new era repeats the calls of its other feeds, and treats entries that are missing as after an outage. A list that spans a restore fails. This mends the cause and not the symptom, because every comparison of revisions now includes the history that they belong to.

Instances of builds with the old heartbeat format do not hear each other during an upgrade.

--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -11,6 +11,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.history import ChangeBatch, ChangeHistory
+from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.errors import ErrorKind, Failure
 
 T = TypeVar("T")
@@ -27,35 +28,36 @@
 BACKOFF_FIRST_MS = 150.0
 BACKOFF_MAX_MS = 1_500.0
 # Removals within this time after an outage may be entries that expired during the outage.
+# The same holds for entries that are missing after the store was restored from a copy.
 RECOVERY_PERIOD_MS = 2_500.0
 
 
 @frozen
 class Snapshot(Generic[T]):
-    """All objects of one kind at one revision of the store.
+    """All objects of one kind at one position in the store.
 
-    :param newest_revision: revision of the latest change among the objects.
+    :param newest: position of the latest change among the objects.
     :param rejected: one failure for each invalid entry.
     """
 
     items: dict[str, T]
-    revision: int
-    newest_revision: int = 0
+    position: StorePosition
+    newest: StorePosition = NO_POSITION
     rejected: tuple[Failure, ...] = ()
 
 
 @frozen
 class Updates(Generic[T]):
-    """Changes since a revision; a removed object is ``None``.
+    """Changes since a position; a removed object is ``None``.
 
-    :param newest_revision: revision of the latest change among them; 0 without changes.
+    :param newest: position of the latest change among them; unknown without changes.
     :param rejected: one failure for each invalid entry.
     :param recovering: whether the relay that sent them recently lost the store.
     """
 
     changes: tuple[tuple[str, T | None], ...]
-    revision: int
-    newest_revision: int = 0
+    position: StorePosition
+    newest: StorePosition = NO_POSITION
     rejected: tuple[Failure, ...] = ()
     recovering: bool = False
 
@@ -69,20 +71,21 @@
         :param timeout_ms: timeout of one call.
         """
 
-    def watch(self, revision: int, wait_ms: float) -> Result[Updates[T], Failure]:
-        """Wait for changes after a revision.
+    def watch(self, position: StorePosition, wait_ms: float) -> Result[Updates[T], Failure]:
+        """Wait for changes after a position.
 
         :param wait_ms: maximum time to wait for a change.
         :returns: the changes; ``CONFLICT`` if the store no longer has the history since
-            the revision.
+            the position.
         """
 
 
 class Feed(Generic[T]):
     """Follows one kind of object in the store.
 
-    :ivar revision: revision of the store from which the next watch continues.
-    :ivar newest_revision: revision of the latest change that was applied.
+    :ivar position: position in the store from which the next watch continues; without a
+        revision, the objects are listed first.
+    :ivar newest: position of the latest change that was applied.
     :ivar last_success_ms: local time of the last successful call.
     :ivar unanswered_restarts: restarts since the last call that was answered or failed.
     :ivar history: recent changes, for instances that follow this one.
@@ -97,7 +100,7 @@
         source: Source[T],
         on_snapshot: Callable[[Snapshot[T], bool], None],
         on_updates: Callable[[Updates[T], bool], None],
-        on_store_call: Callable[[str, Failure | None, int], None],
+        on_store_call: Callable[[str, Failure | None, StorePosition], None],
         clock: Clock,
         rng: random.Random,
         batch_delay_ms: float = 0.0,
@@ -110,7 +113,7 @@
         :param on_updates: called with changes and whether the store was recently
             unavailable.
         :param on_store_call: called after each store call with the feed's name, the
-            failure, if any, and the revision from which the feed continued.
+            failure, if any, and the position from which the feed continued.
         :param batch_delay_ms: delay before the next watch after changes, so that a burst
             of changes needs few calls.
         :param verifies_watches: returns whether the watch after changes is short at first, to
@@ -130,8 +133,8 @@
         self._recovered_ms = -RECOVERY_PERIOD_MS
         self._probing = False
         self._list_timeout_ms = FIRST_LIST_TIMEOUT_MS
-        self.revision = 0
-        self.newest_revision = 0
+        self.position = NO_POSITION
+        self.newest = NO_POSITION
         self.last_success_ms = 0.0
         self.unanswered_restarts = 0
         self._call_started_ms: float | None = None
@@ -142,9 +145,9 @@
         self._retry_requested = Event()
 
     @property
-    def known_revision(self) -> int:
-        """Revision of the store up to which all changes are known."""
-        return max(self.revision, self.newest_revision)
+    def known_position(self) -> StorePosition:
+        """Position in the store up to which all changes are known."""
+        return max(self.position, self.newest)
 
     @property
     def failing(self) -> bool:
@@ -158,9 +161,9 @@
             return 0.0
         return self._clock.now_ms() - self._call_started_ms
 
-    def advance_newest_revision(self, revision: int) -> None:
-        """Record that state up to a revision was received from a peer."""
-        self.newest_revision = max(self.newest_revision, revision)
+    def advance_newest(self, position: StorePosition) -> None:
+        """Record that state up to a position was received from a peer."""
+        self.newest = max(self.newest, position)
 
     def start(self) -> None:
         """Start the greenlet that follows the store."""
@@ -185,6 +188,17 @@
         if self._call_started_ms is not None and self._call_started_ms >= time_ms:
             self.restart()
 
+    def record_restore(self, era: int) -> None:
+        """Record that the store was restored, and repeat a call that refers to an earlier era.
+
+        What was written to the store after the copy was made is missing at first.
+
+        :param era: number of the restored store's era.
+        """
+        self._recovered_ms = self._clock.now_ms()
+        if self._call_started_ms is not None and 0 < self.position.era < era:
+            self.restart()
+
     def restart(self) -> None:
         """Abort the current call, which may never be answered, and start a new one."""
         self.stop()
@@ -194,7 +208,7 @@
 
     def _follow(self) -> None:
         while True:
-            if self.revision:
+            if self.position.revision:
                 self._watch_once()
             else:
                 self._list_once()
@@ -210,20 +224,20 @@
         self._record_success()
         self._probing = True
         self._on_snapshot(listed.ok, self._is_recovering())
-        self.revision = listed.ok.revision
-        self.newest_revision = max(self.newest_revision, listed.ok.newest_revision)
-        self.history.reset(self.revision)
+        self.position = listed.ok.position
+        self.newest = max(self.newest, listed.ok.newest)
+        self.history.reset(self.position)
 
     def _watch_once(self) -> None:
         # Jitter prevents instances that started together from calling the store in step.
         max_wait_ms = PROBE_TIMEOUT_MS if self._backoff_ms or self._probing else WATCH_TIMEOUT_MS
         wait_ms = max_wait_ms * (0.75 + 0.25 * self._rng.random())
         started_ms = self._call_started_ms = self._clock.now_ms()
-        watched = self._source.watch(self.revision, wait_ms)
+        watched = self._source.watch(self.position, wait_ms)
         self._record_call_end()
         if watched.is_error():
             if watched.error.kind is ErrorKind.CONFLICT:
-                self.revision = 0
+                self.position = NO_POSITION
                 self._probing = False
                 return
             self._back_off(watched.error, started_ms)
@@ -239,10 +253,10 @@
         if updates.changes or updates.rejected:
             self._on_updates(updates, recovering)
         batch = ChangeBatch(
-            self.revision, updates.revision, updates.newest_revision, updates.changes, recovering
+            self.position, updates.position, updates.newest, updates.changes, recovering
         )
-        self.revision = updates.revision
-        self.newest_revision = max(self.newest_revision, updates.newest_revision)
+        self.position = updates.position
+        self.newest = max(self.newest, updates.newest)
         self.history.append(batch)
         if updates.changes:
             self._notify_change()
@@ -265,10 +279,10 @@
             self._recovered_ms = self.last_success_ms
             if self.on_store_recovered is not None:
                 self.on_store_recovered(self._outage_started_ms)
-        self._on_store_call(self.name, None, self.revision)
+        self._on_store_call(self.name, None, self.position)
 
     def _back_off(self, failure: Failure, started_ms: float) -> None:
-        self._on_store_call(self.name, failure, self.revision)
+        self._on_store_call(self.name, failure, self.position)
         if not self._backoff_ms:
             self._outage_started_ms = started_ms
         self._backoff_ms = min(BACKOFF_MAX_MS, max(BACKOFF_FIRST_MS, self._backoff_ms * 2))
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -17,9 +17,10 @@
     NO_HEARTBEATS,
     Membership,
 )
+from persimmonspur.core.fleet.position import NO_POSITION
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.entry.sockets import READ_EVENT, parse_address
-from persimmonspur.entry.wire import Revisions
+from persimmonspur.entry.wire import Positions
 
 MAX_DATAGRAM_BYTES = 1_400
 # Heartbeat intervals are multiples of this interval.
@@ -29,7 +30,7 @@
 class Heartbeat(msgspec.Struct, array_like=True):
     """State that an instance announces to the others.
 
-    :param newest: revisions of the latest changes of the store that the sender knows.
+    :param newest: positions in the store of the latest changes that the sender knows.
     :param interval_ms: time until the sender's next heartbeat; 0 if none follows.
     :param capability: capacity of the sender's machine, in cores.
     """
@@ -41,7 +42,7 @@
     caller_address: str
     peer_address: str
     ready: bool
-    newest: Revisions
+    newest: Positions
     interval_ms: float
     capability: float
 
@@ -54,7 +55,7 @@
     """
 
     ready: bool
-    newest_revisions: Revisions
+    newest_positions: Positions
     interval_ms: float
 
 
@@ -84,7 +85,9 @@
         self._read_watcher.start(self._receive)
         self._timer: Any = loop.timer(TICK_INTERVAL_MS / 1000, TICK_INTERVAL_MS / 1000)
         self._timer.start(self._tick)
-        self._last_sent = OwnState(False, Revisions(0, 0, 0), NO_HEARTBEATS)
+        self._last_sent = OwnState(
+            False, Positions(NO_POSITION, NO_POSITION, NO_POSITION), NO_HEARTBEATS
+        )
         self._ticks_since_send = 0
 
     def send(self) -> None:
@@ -101,7 +104,7 @@
                 own.caller_address,
                 own.peer_address,
                 state.ready,
-                state.newest_revisions,
+                state.newest_positions,
                 state.interval_ms,
                 own.capability,
             )
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -247,7 +247,7 @@
         self.membership.own_ready = self.ready
         return OwnState(
             self.ready,
-            self.state.newest_revisions,
+            self.state.newest_positions,
             self._choose_heartbeat_interval(),
         )
 
@@ -318,11 +318,12 @@
         metrics = self.observer.metrics
         metrics.add_gauge(
             "persimmonspur_state_version",
-            "Version of the configuration, and store revision of the latest endpoint change",
+            "Version of the configuration, revision of the latest endpoint change, and its era",
             "state",
             lambda: {
                 "configuration": self.state.version,
-                "endpoints": self.state.endpoint_feed.newest_revision,
+                "endpoints": self.state.endpoint_feed.newest.revision,
+                "era": self.state.endpoint_feed.position.era,
             },
         )
         metrics.add_gauge(
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from persimmonspur.core.fleet.messages import AttemptRecord, ClientRequest, ClientResponse
+from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.core.fleet.routes import Route
 from persimmonspur.entry import events
 from persimmonspur.entry.eventlog import EventLog
@@ -70,10 +71,12 @@
             events.REQUEST_ANSWERED, notable, lambda: _describe_finished(finished)
         )
 
-    def record_store_call(self, feed: str, failure: Failure | None, revision: int = 0) -> None:
+    def record_store_call(
+        self, feed: str, failure: Failure | None, position: StorePosition = NO_POSITION
+    ) -> None:
         """Count a store call; logs only the first failure in a row and the recovery.
 
-        :param revision: revision from which the feed continues.
+        :param position: position from which the feed continues.
         """
         self.metrics.count_store_call(feed, "ok" if failure is None else "failed")
         failures = self._failure_counts.get(feed, 0)
@@ -85,7 +88,11 @@
         if failures:
             del self._failure_counts[feed]
             self.log.record(
-                events.STORE_REGAINED, feed=feed, failed_calls=failures, revision=revision
+                events.STORE_REGAINED,
+                feed=feed,
+                failed_calls=failures,
+                revision=position.revision,
+                era=position.era,
             )
 
 
--- a/src/persimmonspur/entry/peerstate.py
+++ b/src/persimmonspur/entry/peerstate.py
@@ -14,7 +14,7 @@
 from persimmonspur.entry.httpclient import HttpClient, fetch_message
 from persimmonspur.entry.relays import RelayHandler
 from persimmonspur.entry.server import HttpRequest, Respond, ServerResponse
-from persimmonspur.entry.wire import Revisions, TableMessage, unpack_endpoint, unpack_table
+from persimmonspur.entry.wire import Positions, TableMessage, unpack_endpoint, unpack_table
 from persimmonspur.errors import Failure
 
 STATE_PATH = "/state"
@@ -27,7 +27,7 @@
 
     :param table: ``None`` without a configuration.
     :param evacuated: failure domains whose endpoints get no requests.
-    :param newest: revisions of the latest changes in the state.
+    :param newest: positions of the latest changes in the state.
     :param sent_ms: sender's local time when it sent the state; cold start times of endpoints
         are on the same clock.
     """
@@ -35,7 +35,7 @@
     table: TableMessage | None
     endpoints: list[Endpoint]
     evacuated: list[str]
-    newest: Revisions
+    newest: Positions
     sent_ms: float
 
     def build_table(self) -> RouteTable | None:
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -13,6 +13,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.messages import TimerHandle, Timers
+from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.core.fleet.relays import RelaySelector
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
@@ -36,14 +37,14 @@
 class ChangesMessage(msgspec.Struct, Generic[W]):
     """Response of a relay to a poll.
 
-    :param revision: revision from which the next poll continues.
-    :param newest: revision of the latest change among the changes.
+    :param position: position from which the next poll continues.
+    :param newest: position of the latest change among the changes.
     :param recovering: whether the relay recently lost the store.
     :param sent_ms: the relay's local time when it sent the response.
     """
 
-    revision: int
-    newest: int
+    position: StorePosition
+    newest: StorePosition
     recovering: bool
     sent_ms: float
     changes: list[tuple[str, W | None]]
@@ -68,7 +69,7 @@
 class _PendingPoll:
     """A poll that waits for changes."""
 
-    after: int
+    after: StorePosition
     respond: Respond
     timer: TimerHandle | None = field(default=None)
 
@@ -87,10 +88,12 @@
         self._polls: set[_PendingPoll] = set()
         feed.on_change = self._answer_polls
 
-    def poll(self, after: int, wait_ms: float, respond: Respond) -> Callable[[], None] | None:
+    def poll(
+        self, after: StorePosition, wait_ms: float, respond: Respond
+    ) -> Callable[[], None] | None:
         """Respond as soon as there are changes, or without changes after a timeout.
 
-        :param after: revision up to which the follower knows all changes.
+        :param after: position up to which the follower knows all changes.
         :param wait_ms: maximum time to wait for changes.
         :returns: function to call if the follower disconnects before the response.
         """
@@ -129,7 +132,7 @@
         for name, value in batch.changes:
             changes.append((name, self._format.pack(value) if value is not None else None))
         message = ChangesMessage(
-            batch.revision, batch.newest_revision, batch.recovering, self._clock.now_ms(), changes
+            batch.position, batch.newest, batch.recovering, self._clock.now_ms(), changes
         )
         poll.respond(ServerResponse(200, [], msgspec.msgpack.encode(message)))
         return True
@@ -146,11 +149,23 @@
         path, _, query = request.target.decode("latin-1").partition("?")
         relay = self._relays.get(path.removeprefix(CHANGES_PATH))
         fields = parse_qs(query)
-        after = fields.get("after", [""])[0]
-        if relay is None or not after.isdigit():
+        after = _parse_position(fields.get("after", [""])[0])
+        if relay is None or after == NO_POSITION:
             respond(ServerResponse(404))
             return None
-        return relay.poll(int(after), POLL_WAIT_MS, respond)
+        return relay.poll(after, POLL_WAIT_MS, respond)
+
+
+def _format_position(position: StorePosition) -> str:
+    return f"{position.era}.{position.revision}"
+
+
+def _parse_position(text: str) -> StorePosition:
+    """Return the position that a poll names, or ``NO_POSITION`` if it names none."""
+    era, _, revision = text.partition(".")
+    if not era.isdigit() or not revision.isdigit():
+        return NO_POSITION
+    return StorePosition(int(era), int(revision))
 
 
 class RelayClient:
@@ -223,22 +238,22 @@
         """Return all objects."""
         return self._store.list(timeout_ms)
 
-    def watch(self, revision: int, wait_ms: float) -> Result[Updates[T], Failure]:
+    def watch(self, position: StorePosition, wait_ms: float) -> Result[Updates[T], Failure]:
         """Wait for changes from the relay, or from the store if there is none or it fails."""
         now_ms = self._relay_client.clock.now_ms()
         relay = self._relay_client.selector.choose(now_ms)
         if relay is None:
             self._relay_client.record_source(STORE, "no relay to follow")
-            return self._store.watch(revision, wait_ms)
-        watched = self._watch_relay(relay, revision)
+            return self._store.watch(position, wait_ms)
+        watched = self._watch_relay(relay, position)
         if watched.is_ok():
             return watched
         self._relay_client.selector.exclude(relay, self._relay_client.clock.now_ms())
         self._relay_client.record_source(STORE, watched.error.message)
-        return self._store.watch(revision, wait_ms)
+        return self._store.watch(position, wait_ms)
 
-    def _watch_relay(self, relay: Member, revision: int) -> Result[Updates[T], Failure]:
-        path = f"{CHANGES_PATH}{self._name}?after={revision}"
+    def _watch_relay(self, relay: Member, position: StorePosition) -> Result[Updates[T], Failure]:
+        path = f"{CHANGES_PATH}{self._name}?after={_format_position(position)}"
         http_client = self._relay_client.get_client(relay)
         message_type: type[ChangesMessage[W]] = self._format.message_type
         timeout_ms = POLL_WAIT_MS + POLL_MARGIN_MS
@@ -251,7 +266,7 @@
         for name, value in message.changes:
             changes.append((name, self._unpack_value(value, clock_offset_ms)))
         return Updates(
-            tuple(changes), message.revision, message.newest, recovering=message.recovering
+            tuple(changes), message.position, message.newest, recovering=message.recovering
         )
 
     def _unpack_value(self, value: W | None, clock_offset_ms: float) -> T | None:
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -13,6 +13,7 @@
 from persimmonspur.core.fleet.endpoints import MISSING_ENTRY_HOLD_MS, Endpoint, EndpointDirectory
 from persimmonspur.core.fleet.lag import LagDetector
 from persimmonspur.core.fleet.messages import Timers
+from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
 from persimmonspur.entry import events
@@ -31,7 +32,7 @@
     ENDPOINT_FORMAT,
     EVACUATION_FORMAT,
     TABLE_FORMAT,
-    Revisions,
+    Positions,
     pack_table,
 )
 from persimmonspur.errors import Failure
@@ -182,7 +183,7 @@
         self.store_recovered.set()
 
     def handle_new_era(self, era: int) -> None:
-        """Log that the store was restored from an older copy.
+        """Repeat the calls of feeds that follow an earlier era of the store.
 
         :param era: number of the restored store's era.
         """
@@ -190,8 +191,14 @@
             events.STORE_RESTORED,
             era=era,
             version=self.version,
-            revisions={feed.name: feed.known_revision for feed in self.feeds},
+            revisions={feed.name: feed.known_position.revision for feed in self.feeds},
         )
+        # The feed that noticed is still inside its call.
+        self._timers.call_later(0.0, lambda: self._record_restore(era))
+
+    def _record_restore(self, era: int) -> None:
+        for feed in self.feeds:
+            feed.record_restore(era)
 
     def get_client_limits(self) -> ClientLimits:
         """Return the limits for client requests."""
@@ -199,27 +206,29 @@
         return table.limits if table is not None else ClientLimits()
 
     @property
-    def newest_revisions(self) -> Revisions:
-        """Revisions of the latest changes that were applied on this instance."""
-        return Revisions(
-            self.configuration_feed.newest_revision,
-            self.endpoint_feed.newest_revision,
-            self.evacuation_feed.newest_revision,
+    def newest_positions(self) -> Positions:
+        """Positions of the latest changes that were applied on this instance."""
+        return Positions(
+            self.configuration_feed.newest,
+            self.endpoint_feed.newest,
+            self.evacuation_feed.newest,
         )
 
-    def compare_with_peer(self, peer: Member, peer_revisions: Revisions) -> None:
-        """Compare revisions with a peer and catch up if this instance lags behind.
+    def compare_with_peer(self, peer: Member, newest: Positions) -> None:
+        """Compare positions with a peer and catch up if this instance lags behind.
 
-        :param peer_revisions: revisions of the latest changes that the peer knows.
+        :param newest: positions of the latest changes that the peer knows.
         """
-        self._compare_feed_with_peer(self.configuration_feed, peer_revisions.configuration, peer)
-        self._compare_feed_with_peer(self.endpoint_feed, peer_revisions.endpoints, peer)
-        self._compare_feed_with_peer(self.evacuation_feed, peer_revisions.evacuations, peer)
+        self._compare_feed_with_peer(self.configuration_feed, newest.configuration, peer)
+        self._compare_feed_with_peer(self.endpoint_feed, newest.endpoints, peer)
+        self._compare_feed_with_peer(self.evacuation_feed, newest.evacuations, peer)
 
-    def _compare_feed_with_peer(self, feed: Feed[Any], peer_revision: int, peer: Member) -> None:
-        own = feed.known_revision
-        if self._lag_detectors[feed.name].observe(peer_revision, own, self._clock.now_ms()):
-            self._recover_stuck_feed(feed, own, peer_revision, peer)
+    def _compare_feed_with_peer(
+        self, feed: Feed[Any], announced: StorePosition, peer: Member
+    ) -> None:
+        own = feed.known_position
+        if self._lag_detectors[feed.name].observe(announced, own, self._clock.now_ms()):
+            self._recover_stuck_feed(feed, own, announced, peer)
 
     def _log_rejected(self, kind: str, rejected: tuple[Failure, ...]) -> None:
         for failure in rejected:
@@ -262,7 +271,7 @@
         self._observer.log.record(
             events.ENDPOINTS_LISTED,
             endpoints=len(snapshot.items),
-            revision=snapshot.revision,
+            revision=snapshot.position.revision,
             after_outage=after_outage,
         )
         if after_outage:
@@ -284,7 +293,7 @@
                     address=endpoint.address,
                     draining=endpoint.draining,
                     cold_ms=max(0, round(endpoint.cold_until_ms - self._clock.now_ms())),
-                    revision=updates.revision,
+                    revision=updates.position.revision,
                 )
         self._remove_endpoints(removed, after_outage)
 
@@ -323,12 +332,16 @@
                 events.EVACUATED, failure_domains=sorted(self._evacuated_domains)
             )
 
-    def _recover_stuck_feed(self, feed: Feed[Any], own: int, newer: int, peer: Member) -> None:
+    def _recover_stuck_feed(
+        self, feed: Feed[Any], own: StorePosition, newer: StorePosition, peer: Member
+    ) -> None:
         self._observer.log.record(
             events.WATCH_STUCK,
             feed=feed.name,
-            own=own,
-            newer=newer,
+            own=own.revision,
+            own_era=own.era,
+            newer=newer.revision,
+            newer_era=newer.era,
             peer=peer.name,
             source=self._relay_client.source,
             call_age_ms=round(feed.call_age_ms),
@@ -359,19 +372,19 @@
         table = state.build_table()
         if table is not None:
             self._apply_table(table, peer.name)
-            self.configuration_feed.advance_newest_revision(state.newest.configuration)
-        if state.newest.endpoints > self.endpoint_feed.known_revision:
+            self.configuration_feed.advance_newest(state.newest.configuration)
+        if state.newest.endpoints > self.endpoint_feed.known_position:
             self.endpoints.replace_all(state.build_endpoints(now_ms), False, now_ms)
-            self.endpoint_feed.advance_newest_revision(state.newest.endpoints)
-        if state.newest.evacuations > self.evacuation_feed.known_revision:
+            self.endpoint_feed.advance_newest(state.newest.endpoints)
+        if state.newest.evacuations > self.evacuation_feed.known_position:
             self._evacuated_domains = set(state.evacuated)
             self._update_evacuated_domains()
-            self.evacuation_feed.advance_newest_revision(state.newest.evacuations)
+            self.evacuation_feed.advance_newest(state.newest.evacuations)
         self._observer.log.record(
             events.PEER_STATE_TAKEN,
             peer=peer.name,
             version=self.version,
-            newest=state.newest.endpoints,
+            newest=state.newest.endpoints.revision,
         )
 
     def export_state(self) -> PeerState:
@@ -381,6 +394,6 @@
             pack_table(table) if table is not None else None,
             self.endpoints.list_all(),
             sorted(self.endpoints.evacuated),
-            self.newest_revisions,
+            self.newest_positions,
             self._clock.now_ms(),
         )
--- a/src/persimmonspur/entry/wire.py
+++ b/src/persimmonspur/entry/wire.py
@@ -3,16 +3,17 @@
 import msgspec
 
 from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.core.fleet.routes import ClientLimits, Route, RouteTable, ServiceLimits
 from persimmonspur.entry.relays import ChangesMessage, RelayFormat
 
 
-class Revisions(msgspec.Struct, frozen=True, array_like=True):
-    """Revisions of the store at which the latest known changes were made; 0 if none is known."""
+class Positions(msgspec.Struct, frozen=True, array_like=True):
+    """Positions in the store of the latest known changes."""
 
-    configuration: int
-    endpoints: int
-    evacuations: int
+    configuration: StorePosition
+    endpoints: StorePosition
+    evacuations: StorePosition
 
 
 class TableMessage(msgspec.Struct):
--- a/src/persimmonspur/platform/sources.py
+++ b/src/persimmonspur/platform/sources.py
@@ -1,12 +1,13 @@
 """Sources of typed objects from the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 
 from expression import Result
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.entry.feeds import Snapshot, Updates
@@ -49,9 +50,9 @@
         """Return all objects of this kind."""
         return self._store.list(self._kind, timeout_ms).map(self._decode_listing)
 
-    def watch(self, revision: int, wait_ms: float) -> Result[Updates[T], Failure]:
+    def watch(self, position: StorePosition, wait_ms: float) -> Result[Updates[T], Failure]:
         """Wait for changes to objects of this kind."""
-        return self._store.watch(self._kind, revision, wait_ms).map(self._decode_changes)
+        return self._store.watch(self._kind, position, wait_ms).map(self._decode_changes)
 
     def _decode_listing(self, listing: Listing) -> Snapshot[T]:
         items: dict[str, T] = {}
@@ -62,8 +63,8 @@
                 rejected.append(decoded.error)
                 continue
             items[item.meta.name] = decoded.ok
-        newest_revision = max((item.meta.revision for item in listing.objects), default=0)
-        return Snapshot(items, listing.revision, newest_revision, tuple(rejected))
+        newest = _find_newest(listing.position, listing.objects)
+        return Snapshot(items, listing.position, newest, tuple(rejected))
 
     def _decode_changes(self, changes: WatchResult) -> Updates[T]:
         updates: list[tuple[str, T | None]] = []
@@ -80,10 +81,8 @@
                 updates.append((name, None))
                 continue
             updates.append((name, decoded.ok))
-        newest_revision = max(
-            (change.object.meta.revision for change in changes.changes), default=0
-        )
-        return Updates(tuple(updates), changes.revision, newest_revision, tuple(rejected))
+        newest = _find_newest(changes.position, (change.object for change in changes.changes))
+        return Updates(tuple(updates), changes.position, newest, tuple(rejected))
 
 
 def open_configuration_source(store: PlatformStore) -> StoreObjectSource[RouteTable]:
@@ -108,6 +107,12 @@
     return StoreObjectSource(store, INSTANCE_KIND, decode_member)
 
 
+def _find_newest(position: StorePosition, objects: Iterable[StoreObject]) -> StorePosition:
+    """Return the position of the latest change among objects read at a position."""
+    revision = max((item.meta.revision for item in objects), default=0)
+    return StorePosition(position.era, revision) if revision else NO_POSITION
+
+
 def _build_malformed_failures(count: int) -> list[Failure]:
     if not count:
         return []
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
+from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.entry.httpclient import HttpClient
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.errors import ErrorKind, Failure
@@ -48,12 +49,12 @@
 class Listing:
     """All objects of one kind.
 
-    :param revision: revision from which a watch continues.
+    :param position: position from which a watch continues.
     :param malformed_count: number of entries that are not valid objects.
     """
 
     objects: tuple[StoreObject, ...]
-    revision: int
+    position: StorePosition
     malformed_count: int = 0
 
 
@@ -69,12 +70,12 @@
 class WatchResult:
     """Changes that a watch reported.
 
-    :param revision: revision from which the next watch continues.
+    :param position: position from which the next watch continues.
     :param malformed_count: number of events that do not carry a valid object.
     """
 
     changes: tuple[Change, ...]
-    revision: int
+    position: StorePosition
     malformed_count: int = 0
 
 
@@ -98,14 +99,20 @@
         objects: list[StoreObject] = []
         malformed_count = 0
         after = ""
+        era: int | None = None
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
             response = self._request("GET", f"/-/objects/{kind}{query}", b"", timeout_ms)
             if response.is_error():
                 return Error(response.error)
-            page = _decode(response.ok, _List)
+            page = _decode(response.ok.body, _List)
             if page.is_error():
                 return Error(page.error)
+            page_era = _parse_era(response.ok)
+            if era is not None and page_era != era:
+                reason = f"store: restored while {kind} was listed"
+                return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
+            era = page_era
             for item in page.ok.items:
                 converted = _convert_object(item)
                 if converted is None:
@@ -113,20 +120,28 @@
                     continue
                 objects.append(converted)
             if not page.ok.has_more or not objects:
-                return Ok(Listing(tuple(objects), page.ok.store_revision, malformed_count))
+                position = StorePosition(era, page.ok.store_revision)
+                return Ok(Listing(tuple(objects), position, malformed_count))
             after = objects[-1].meta.name
 
-    def watch(self, kind: str, revision: int, wait_ms: float) -> Result[WatchResult, Failure]:
-        """Wait for changes to objects of a kind after a revision.
+    def watch(
+        self, kind: str, position: StorePosition, wait_ms: float
+    ) -> Result[WatchResult, Failure]:
+        """Wait for changes to objects of a kind after a position.
 
         :param wait_ms: longest wait; the result is empty if nothing changes in that time.
-        :returns: an error of kind ``CONFLICT`` if the store no longer has that history.
+        :returns: an error of kind ``CONFLICT`` if the store no longer has that history. A
+            store of another era may have the revision, but with another history before it.
         """
-        path = f"/-/objects/{kind}?watch={revision}&wait_ms={int(wait_ms)}"
+        path = f"/-/objects/{kind}?watch={position.revision}&wait_ms={int(wait_ms)}"
         response = self._request("GET", path, b"", wait_ms + WATCH_MARGIN_MS)
         if response.is_error():
             return Error(response.error)
-        events = _decode(response.ok, _Events)
+        era = _parse_era(response.ok)
+        if era != position.era:
+            reason = f"store: era is {era}, revision {position.revision} is of era {position.era}"
+            return Error(Failure.of(ErrorKind.CONFLICT, reason))
+        events = _decode(response.ok.body, _Events)
         if events.is_error():
             return Error(events.error)
         changes = []
@@ -135,7 +150,8 @@
             if converted is not None:
                 changes.append(Change(converted, event.removed))
         malformed_count = len(events.ok.events) - len(changes)
-        return Ok(WatchResult(tuple(changes), events.ok.store_revision, malformed_count))
+        result_position = StorePosition(era, events.ok.store_revision)
+        return Ok(WatchResult(tuple(changes), result_position, malformed_count))
 
     def put(self, kind: str, name: str, spec: Any) -> Result[None, Failure]:
         """Replace an object, or create it if it does not exist."""
@@ -152,14 +168,14 @@
 
     def _request(
         self, method: str, path: str, body: bytes, timeout_ms: float
-    ) -> Result[bytes, Failure]:
+    ) -> Result[HttpResponse, Failure]:
         result = self._client.request(method, path, body, timeout_ms)
         if result.is_error():
             return Error(result.error)
         response = result.ok
         self._observe_era(response)
         if 200 <= response.status < 300:
-            return Ok(response.body)
+            return Ok(response)
         kinds = {
             404: ErrorKind.NOT_FOUND,
             409: ErrorKind.CONFLICT,
@@ -197,5 +213,5 @@
         return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, f"store: invalid response: {error}"))
 
 
-def _discard_body(_: bytes) -> None:
+def _discard_body(_: HttpResponse) -> None:
     return None
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -5,11 +5,16 @@
 from expression import Error, Ok
 
 from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.entry import feeds
 from persimmonspur.entry.feeds import Feed, Snapshot, Updates
 from persimmonspur.errors import ErrorKind, Failure
 
 
+def at(revision, era=1):
+    return StorePosition(era, revision)
+
+
 class ScriptedSource:
     """Returns scripted results in order, then blocks."""
 
@@ -29,8 +34,8 @@
         self.timeouts.append(timeout_ms)
         return self._next()
 
-    def watch(self, revision, wait_ms):
-        self.calls.append(revision)
+    def watch(self, position, wait_ms):
+        self.calls.append(position.revision)
         self.waits.append(wait_ms)
         return self._next()
 
@@ -53,7 +58,7 @@
             source,
             lambda snapshot, outage: received.append((snapshot, outage)),
             lambda updates, outage: received.append((updates, outage)),
-            lambda name, failure, revision: call_results.append(failure is None),
+            lambda name, failure, position: call_results.append(failure is None),
             Clock(),
             random.Random(1),
             **options,
@@ -71,7 +76,7 @@
 
 def test_watch_continues_from_the_last_revision(start_feed):
     source, received, _ = start_feed(
-        Ok(Snapshot({"a": 1}, 10)), Ok(Updates((("b", 2),), 12)), Ok(Updates((), 15))
+        Ok(Snapshot({"a": 1}, at(10))), Ok(Updates((("b", 2),), at(12))), Ok(Updates((), at(15)))
     )
     assert source.calls == ["list", 10, 12, 15]
     assert len(received) == 2
@@ -80,23 +85,26 @@
 def test_discarded_history_causes_a_new_list(start_feed):
     # Guards against missing changes after the store discarded its history.
     source, received, call_results = start_feed(
-        Ok(Snapshot({}, 10)), make_failure(ErrorKind.CONFLICT), Ok(Snapshot({"a": 1}, 20))
+        Ok(Snapshot({}, at(10))), make_failure(ErrorKind.CONFLICT), Ok(Snapshot({"a": 1}, at(20)))
     )
     assert source.calls == ["list", 10, "list", 20]
     assert call_results == [True, True]
-    assert received[1] == (Snapshot({"a": 1}, 20), False)
+    assert received[1] == (Snapshot({"a": 1}, at(20)), False)
 
 
 def test_first_result_after_an_outage_is_flagged(start_feed):
     _source, received, call_results = start_feed(
-        Ok(Snapshot({}, 10)), make_failure(), make_failure(), Ok(Updates((("a", None),), 11))
+        Ok(Snapshot({}, at(10))),
+        make_failure(),
+        make_failure(),
+        Ok(Updates((("a", None),), at(11))),
     )
     assert call_results == [True, False, False, True]
     assert received[1][1] is True
 
 
 def test_failed_watch_is_retried_from_the_same_revision(start_feed):
-    source, _, _ = start_feed(Ok(Snapshot({}, 10)), make_failure(), Ok(Updates((), 11)))
+    source, _, _ = start_feed(Ok(Snapshot({}, at(10))), make_failure(), Ok(Updates((), at(11))))
     assert source.calls == ["list", 10, 10, 11]
 
 
@@ -104,12 +112,12 @@
     # Guards against a watch that was sent while the store hung and that blocks for the full
     # timeout although the store has recovered.
     source, _, _ = start_feed(
-        Ok(Snapshot({}, 10)),
-        Ok(Updates((), 11)),
+        Ok(Snapshot({}, at(10))),
+        Ok(Updates((), at(11))),
         make_failure(),
         make_failure(),
-        Ok(Updates((), 12)),
-        Ok(Updates((), 13)),
+        Ok(Updates((), at(12))),
+        Ok(Updates((), at(13))),
     )
     assert source.waits[1] > feeds.PROBE_TIMEOUT_MS
     assert all(wait_ms <= feeds.PROBE_TIMEOUT_MS for wait_ms in source.waits[2:4])
@@ -117,7 +125,7 @@
 
 
 def test_restarted_feed_watches_at_once_from_the_same_revision(start_feed):
-    source, _, _ = start_feed(Ok(Snapshot({}, 10)))
+    source, _, _ = start_feed(Ok(Snapshot({}, at(10))))
     source.feed.restart()
     gevent.sleep(0.01)
     assert source.calls == ["list", 10, 10]
@@ -127,7 +135,9 @@
 def test_list_timeout_is_short_at_first_and_grows(start_feed):
     # Guards against a start that waits for the long timeout of a list that was sent while
     # the store hung, although the store has recovered.
-    source, _, _ = start_feed(make_failure(), make_failure(), make_failure(), Ok(Snapshot({}, 10)))
+    source, _, _ = start_feed(
+        make_failure(), make_failure(), make_failure(), Ok(Snapshot({}, at(10)))
+    )
     assert source.timeouts[0] <= 400
     assert source.timeouts == sorted(source.timeouts)
     assert source.timeouts[-1] >= 1_500
@@ -138,7 +148,7 @@
     # of its own backoff.
     monkeypatch.setattr(feeds, "BACKOFF_FIRST_MS", 60_000.0)
     monkeypatch.setattr(feeds, "BACKOFF_MAX_MS", 60_000.0)
-    source, received, _ = start_feed(make_failure(), Ok(Snapshot({}, 10)))
+    source, received, _ = start_feed(make_failure(), Ok(Snapshot({}, at(10))))
     recovered = []
     source.feed.on_store_recovered = lambda outage_started_ms: recovered.append(source.calls[-1])
     assert source.calls == ["list"]
@@ -151,14 +161,14 @@
 
 def test_restarts_without_an_answer_are_counted(start_feed):
     # Guards against a log that cannot tell a call that hangs from one that is repeated.
-    source, _, _ = start_feed(Ok(Snapshot({}, 10)))
+    source, _, _ = start_feed(Ok(Snapshot({}, at(10))))
     source.feed.restart()
     gevent.sleep(0.02)
     source.feed.restart()
     gevent.sleep(0.02)
     assert source.feed.unanswered_restarts == 2
     assert 10 < source.feed.call_age_ms < 1_000
-    source.results.append(Ok(Updates((), 11)))
+    source.results.append(Ok(Updates((), at(11))))
     source.feed.restart()
     gevent.sleep(0.02)
     assert source.feed.unanswered_restarts == 0
@@ -167,10 +177,10 @@
 def test_verified_watch_after_changes_is_short_until_one_is_answered_empty(start_feed):
     # Guards against a watch that is sent into a silence of the store and hangs for its full time.
     source, _, _ = start_feed(
-        Ok(Snapshot({}, 10)),
-        Ok(Updates((("a", 1),), 11)),
-        Ok(Updates((), 12)),
-        Ok(Updates((), 13)),
+        Ok(Snapshot({}, at(10))),
+        Ok(Updates((("a", 1),), at(11))),
+        Ok(Updates((), at(12))),
+        Ok(Updates((), at(13))),
         verifies_watches=lambda: True,
     )
     after_list, after_changes, *after_empty = source.waits
@@ -181,7 +191,7 @@
 def test_only_a_call_sent_during_the_outage_is_repeated(start_feed):
     # Guards against feeds that hang while another feed already reaches the store again, and
     # against repeating the calls that will be answered.
-    source, _, _ = start_feed(Ok(Snapshot({}, 10)))
+    source, _, _ = start_feed(Ok(Snapshot({}, at(10))))
     sent_before_ms = source.feed._clock.now_ms() - source.feed.call_age_ms
     source.feed.restart_call_sent_since(sent_before_ms + 1)
     gevent.sleep(0.02)
@@ -194,5 +204,5 @@
 def test_first_watch_after_a_list_is_short(start_feed):
     # Guards against instances that start while the store falls silent and hang for the full
     # time of a watch, and against followers that watch the store long after a relay is known.
-    source, _, _ = start_feed(Ok(Snapshot({}, 10)), Ok(Updates((), 11)))
+    source, _, _ = start_feed(Ok(Snapshot({}, at(10))), Ok(Updates((), at(11))))
     assert source.waits[0] <= feeds.PROBE_TIMEOUT_MS < source.waits[1]
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -9,6 +9,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import ClientLimits, RequestKind, Route, RouteTable
 from persimmonspur.entry import feeds, relays
@@ -20,6 +21,10 @@
 from persimmonspur.errors import ErrorKind, Failure
 
 
+def at(revision, era=1):
+    return StorePosition(era, revision)
+
+
 class ScriptedStore:
     """Returns scripted updates of one kind of object; blocks while there are none."""
 
@@ -31,7 +36,7 @@
     def list(self, timeout_ms):
         return Ok(self.snapshot)
 
-    def watch(self, revision, wait_ms):
+    def watch(self, position, wait_ms):
         self.watch_count += 1
         while not self.updates:
             gevent.sleep(0.005)
@@ -96,7 +101,7 @@
             source,
             lambda snapshot, recovering: None,
             on_updates,
-            lambda name, failure, revision: None,
+            lambda name, failure, position: None,
             clock,
             random.Random(1),
         )
@@ -117,7 +122,7 @@
     relay_pairs = []
 
     def start(relay_format=ENDPOINT_FORMAT, snapshot=None, listening=True):
-        relay_pair = RelayPair(relay_format, snapshot or Snapshot({}, 10), listening)
+        relay_pair = RelayPair(relay_format, snapshot or Snapshot({}, at(10)), listening)
         relay_pairs.append(relay_pair)
         return relay_pair
 
@@ -133,10 +138,10 @@
 def test_follower_receives_changes_without_store_calls(start_relay_pair):
     # Guards against store calls that grow with the fleet: every open watch is billed.
     relay_pair = start_relay_pair()
-    relay_pair.relay_store.updates.append(Ok(Updates((("e-1", make_endpoint()),), 12, 12)))
+    relay_pair.relay_store.updates.append(Ok(Updates((("e-1", make_endpoint()),), at(12), at(12))))
     gevent.sleep(0.3)
     assert [updates.changes for updates, _ in relay_pair.received] == [(("e-1", make_endpoint()),)]
-    assert relay_pair.follower.revision == 12
+    assert relay_pair.follower.position == at(12)
     assert relay_pair.follower_store.watch_count == 0
     assert relay_pair.sources == [("relay", "nearest relay")]
 
@@ -145,7 +150,7 @@
     relay_pair = start_relay_pair()
     until_ms = Clock().now_ms() + 5_000
     endpoint = make_endpoint(cold_until_ms=until_ms)
-    relay_pair.relay_store.updates.append(Ok(Updates((("e-1", endpoint),), 12, 12)))
+    relay_pair.relay_store.updates.append(Ok(Updates((("e-1", endpoint),), at(12), at(12))))
     gevent.sleep(0.2)
     received = relay_pair.received[0][0].changes[0][1]
     assert abs(received.cold_until_ms - until_ms) < 100
@@ -155,7 +160,7 @@
     relay_pair = start_relay_pair(TABLE_FORMAT)
     route = Route("r", "host", "/a", RequestKind.IDEMPOTENT, 100.0, 50.0, 1, 1, ())
     table = RouteTable(3, (route,), {}, ClientLimits())
-    relay_pair.relay_store.updates.append(Ok(Updates((("main", table),), 12, 12)))
+    relay_pair.relay_store.updates.append(Ok(Updates((("main", table),), at(12), at(12))))
     gevent.sleep(0.2)
     received = relay_pair.received[0][0].changes[0][1]
     assert received.version == 3
@@ -169,7 +174,9 @@
     relay_pair.relay_store.updates.append(
         Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, "store unavailable"))
     )
-    relay_pair.follower_store.updates.append(Ok(Updates((("e-1", make_endpoint()),), 12, 12)))
+    relay_pair.follower_store.updates.append(
+        Ok(Updates((("e-1", make_endpoint()),), at(12), at(12)))
+    )
     gevent.sleep(0.15)
     assert relay_pair.selector.exclusions == 1
     assert len(relay_pair.received) == 1
@@ -181,7 +188,9 @@
     # Guards against followers waiting for a frozen relay longer than the time limit for
     # applying changes.
     relay_pair = start_relay_pair(listening=False)
-    relay_pair.follower_store.updates.append(Ok(Updates((("e-1", make_endpoint()),), 12, 12)))
+    relay_pair.follower_store.updates.append(
+        Ok(Updates((("e-1", make_endpoint()),), at(12), at(12)))
+    )
     gevent.sleep(0.4)
     assert relay_pair.selector.exclusions == 1
     assert len(relay_pair.received) == 1
@@ -189,7 +198,7 @@
 
 def test_follower_falls_back_to_the_store_if_the_relay_lacks_the_history(start_relay_pair):
     relay_pair = start_relay_pair()
-    relay_pair.relay.history.reset(50)
+    relay_pair.relay.history.reset(at(50))
     gevent.sleep(0.3)
     assert relay_pair.selector.exclusions == 1
     assert relay_pair.follower_store.watch_count == 1
@@ -198,6 +207,8 @@
 def test_store_outage_seen_only_by_the_relay_is_forwarded(start_relay_pair):
     # Guards against followers removing endpoints whose entries expired during an outage.
     relay_pair = start_relay_pair()
-    relay_pair.relay_store.updates.append(Ok(Updates((("e-1", None),), 12, 12, recovering=True)))
+    relay_pair.relay_store.updates.append(
+        Ok(Updates((("e-1", None),), at(12), at(12), recovering=True))
+    )
     gevent.sleep(0.2)
     assert relay_pair.received[0][1]
--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -21,6 +21,8 @@
     :ivar silent: whether requests are left unanswered, also once the store answers others
         again.
     :ivar responses_to_lose: number of coming writes that are executed but not answered.
+    :ivar on_list: called with the name after which each page of a list starts, before the page
+        is read.
     :ivar era: number of the store's current history, sent with every response.
     """
 
@@ -34,6 +36,7 @@
         self.silent = False
         self.responses_to_lose = 0
         self.era = 1
+        self.on_list = None
         self.page_size = 500
         self._changed = Event()
         self._server = WSGIServer(("127.0.0.1", 0), self._handle, log=None, error_log=None)
@@ -134,6 +137,8 @@
         return 200, self.objects[kind][name]
 
     def _list(self, kind, after):
+        if self.on_list is not None:
+            self.on_list(after)
         names = sorted(name for name in self.objects.get(kind, {}) if name > after)
         items = [self.objects[kind][name] for name in names[: self.page_size]]
         return 200, {
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -13,6 +13,7 @@
     make_route,
 )
 
+from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE
 from persimmonspur.entry import instance as entry_instance
 from persimmonspur.platform.run import encode_addresses
@@ -368,7 +369,7 @@
     state = first.instance.state.export_state()
     assert state.build_table().version == 5
     assert [endpoint.identity for endpoint in state.build_endpoints(0.0)] == ["i-1"]
-    first.instance.state.endpoint_feed.newest_revision += 1
+    first.instance.state.endpoint_feed.advance_newest(StorePosition(9, 1))
     first.instance.state._fetch_peer_state(first.instance.settings.member)
     assert first.instance.state.routes.table.version == 5
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -31,26 +31,26 @@
     assert listed.is_ok(), listed.error
     listing = listed.ok
     assert [item.meta.name for item in listing.objects] == [f"i-{index}" for index in range(5)]
-    assert listing.revision == fake_store.revision
+    assert listing.position.revision == fake_store.revision
 
 
 def test_watch_reports_changes_and_removals(fake_store, store):
-    revision = store.list("servers").ok.revision
+    position = store.list("servers").ok.position
     fake_store.put("servers", "i-1", {"a": 1})
     fake_store.put("config", "main", {})
     fake_store.delete("servers", "i-1")
-    changes = store.watch("servers", revision, 1_000.0).ok
+    changes = store.watch("servers", position, 1_000.0).ok
     assert [(change.object.meta.name, change.removed) for change in changes.changes] == [
         ("i-1", False),
         ("i-1", True),
     ]
-    assert store.watch("servers", changes.revision, 50.0).ok.changes == ()
+    assert store.watch("servers", changes.position, 50.0).ok.changes == ()
 
 
 def test_compacted_history_is_a_conflict(fake_store, store):
-    revision = store.list("servers").ok.revision
+    position = store.list("servers").ok.position
     fake_store.compact_history()
-    assert store.watch("servers", revision, 50.0).error.kind is ErrorKind.CONFLICT
+    assert store.watch("servers", position, 50.0).error.kind is ErrorKind.CONFLICT
 
 
 def test_put_creates_and_replaces(fake_store, store):
@@ -69,9 +69,9 @@
 def test_unresponsive_store_times_out(fake_store, store, monkeypatch):
     # Guards against a watch that blocks forever when the store stops responding.
     monkeypatch.setattr("persimmonspur.platform.store.WATCH_MARGIN_MS", 50.0)
-    revision = store.list("servers").ok.revision
+    position = store.list("servers").ok.position
     fake_store.silent = True
-    assert store.watch("servers", revision, 50.0).is_error()
+    assert store.watch("servers", position, 50.0).is_error()
     fake_store.silent = False
     assert store.list("servers").is_ok()
 
@@ -95,6 +95,27 @@
     fake_store.revision += 1
     fake_store._add_event("evacuations", "text", False)
     fake_store.put("evacuations", "zone-b", {})
-    watched = source.watch(listed.revision, 1_000.0).ok
+    watched = source.watch(listed.position, 1_000.0).ok
     assert [name for name, _ in watched.changes] == ["zone-b"]
     assert len(watched.rejected) == 1
+
+
+def test_revision_of_an_earlier_era_is_a_conflict(fake_store, store):
+    # Guards against missing changes at revisions that a restored store gave out again.
+    copy = fake_store.take_copy()
+    fake_store.put("servers", "i-1", {})
+    position = store.list("servers").ok.position
+    fake_store.restore(copy)
+    fake_store.put("servers", "i-2", {})
+    assert position.revision == fake_store.revision
+    assert store.watch("servers", position, 50.0).error.kind is ErrorKind.CONFLICT
+
+
+def test_list_that_spans_a_restore_fails(fake_store, store):
+    # Guards against a list that mixes objects from before and after a restore.
+    copy = fake_store.take_copy()
+    fake_store.page_size = 1
+    for index in range(3):
+        fake_store.put("servers", f"i-{index}", {})
+    fake_store.on_list = lambda after: fake_store.restore(copy) if after else None
+    assert store.list("servers").error.kind is ErrorKind.STORE_UNAVAILABLE
