Repeat the registration after the store was restored

Instances that started shortly before a restore were unknown to all that started later, and those that list the members dropped them. Each instance now writes its registration again within a second of the new era, and lists the others after that. The test failed before.

--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -4,6 +4,7 @@
 
 import gevent
 from attrs import frozen
+from gevent.event import Event
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
@@ -39,6 +40,8 @@
 STORE_RETRY_MS = 200.0
 MAX_STORE_RETRY_MS = 2_000.0
 MEMBER_LIST_INTERVAL_MS = 120_000.0
+# Time over which the instances repeat their registrations after the store was restored.
+REREGISTRATION_SPREAD_MS = 1_000.0
 # Maintenance that runs this late indicates that the process was stalled.
 STALL_THRESHOLD_MS = 300.0
 
@@ -89,7 +92,7 @@
         self.observer = Observer(log)
         self.timers = timers
         self._sources = sources
-        rng = random.Random(settings.member.name + str(settings.member.incarnation))
+        self._rng = rng = random.Random(settings.member.name + str(settings.member.incarnation))
         self.membership = Membership(settings.member)
         self.state = StoreState(
             sources,
@@ -134,6 +137,7 @@
         self._peer_server: HttpServer | None = None
         self._last_maintenance_ms = 0.0
         self._total_stall_ms = 0.0
+        self._store_restored = Event()
         self._register_gauges()
 
     @property
@@ -155,7 +159,7 @@
         )
         self._update_limit_shares()
         self.state.start()
-        gevent.spawn(self._register)
+        gevent.spawn(self._maintain_registration)
         self.timers.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
 
     def serve(self, address: str, handler: Handler) -> HttpServer:
@@ -197,6 +201,25 @@
         limits = table.services.get(service) if table is not None else None
         return limits.max_connections if limits is not None else DEFAULT_MAX_CONNECTIONS
 
+    def handle_new_era(self, era: int) -> None:
+        """Read the restored store again, and repeat the registration, which it may have lost.
+
+        :param era: number of the restored store's era.
+        """
+        self.state.handle_new_era(era)
+        self._store_restored.set()
+
+    def _maintain_registration(self) -> None:
+        self._register()
+        self._list_members()
+        while not self.leaving:
+            self._store_restored.clear()
+            gevent.sleep(self._rng.random() * REREGISTRATION_SPREAD_MS / 1000)
+            self._register()
+            # The others repeat their registrations within the same time.
+            gevent.sleep(REREGISTRATION_SPREAD_MS / 1000)
+            self._list_members()
+
     def _register(self) -> None:
         registered = self._sources.registry.register(self.settings.member)
         delay_ms = STORE_RETRY_MS
@@ -205,26 +228,25 @@
             self._wait_for_store(delay_ms)
             delay_ms = min(MAX_STORE_RETRY_MS, delay_ms * 2)
             registered = self._sources.registry.register(self.settings.member)
-        self._list_members()
 
     def _wait_for_store(self, max_wait_ms: float) -> None:
         self.state.store_recovered.clear()
         self.state.store_recovered.wait(max_wait_ms / 1000)
 
     def _list_members(self) -> None:
-        """List the registered instances periodically.
+        """List the registered instances periodically until the store is restored.
 
         Heartbeats announce new instances; the list covers heartbeats that were lost and
         removes instances that are no longer registered.
         """
         delay_ms = STORE_RETRY_MS
-        while not self.leaving:
+        while not self.leaving and not self._store_restored.is_set():
             listed = self._sources.members.list(MAX_LIST_TIMEOUT_MS)
             self.observer.record_store_call("members", listed.error if listed.is_error() else None)
             if listed.is_ok():
                 self._update_members(listed.ok.items)
                 delay_ms = STORE_RETRY_MS
-                gevent.sleep(MEMBER_LIST_INTERVAL_MS / 1000)
+                self._store_restored.wait(MEMBER_LIST_INTERVAL_MS / 1000)
                 continue
             self._wait_for_store(delay_ms)
             delay_ms = min(MAX_STORE_RETRY_MS, delay_ms * 2)
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -169,7 +169,7 @@
     codec = PlatformCodec()
     codecs = Codecs(codec, codec, headers.PlatformResponseFormat())
     instance = EntryInstance(instance_settings, sources, codecs, clock, timers, log)
-    store.on_new_era = instance.state.handle_new_era
+    store.on_new_era = instance.handle_new_era
     return instance
 
 
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -61,3 +61,13 @@
         second.close()
         front.close()
         first.close()
+
+
+def test_registration_is_written_again_after_a_restore(deployment):
+    # Guards against instances that a restored store does not know and that nobody lists.
+    gevent.sleep(0.3)
+    copy = ({**deployment.store.objects, "entry-instances": {}}, 100, [])
+    assert "front-1" in deployment.store.objects["entry-instances"]
+    deployment.store.restore(copy)
+    gevent.sleep(CONFIGURATION_TIMEOUT_S)
+    assert "front-1" in deployment.store.objects["entry-instances"]
