--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -125,6 +125,7 @@
         )
         self.store_recovered = Event()
         self._evacuated_domains: set[str] = set()
+        self._missing_evacuations: set[str] = set()
         self.evacuation_feed: Feed[str] = Feed(
             EVACUATIONS,
             RelayedSource(EVACUATIONS, sources.evacuations, relay_client, EVACUATION_FORMAT),
@@ -313,12 +314,23 @@
 
     def _apply_evacuation_snapshot(self, snapshot: Snapshot[str], after_outage: bool) -> None:
         self._log_rejected("evacuation", snapshot.rejected)
-        self._evacuated_domains = set(snapshot.items)
+        listed = set(snapshot.items)
+        # A restored store lacks entries until the operator has written them again.
+        self._missing_evacuations = self._evacuated_domains - listed if after_outage else set()
+        self._evacuated_domains = listed | self._missing_evacuations
+        if self._missing_evacuations:
+            self._timers.call_later(MISSING_ENTRY_HOLD_MS, self._expire_evacuations)
+        self._update_evacuated_domains()
+
+    def _expire_evacuations(self) -> None:
+        self._evacuated_domains -= self._missing_evacuations
+        self._missing_evacuations = set()
         self._update_evacuated_domains()
 
     def _apply_evacuation_updates(self, updates: Updates[str], after_outage: bool) -> None:
         self._log_rejected("evacuation", updates.rejected)
         for name, value in updates.changes:
+            self._missing_evacuations.discard(name)
             if value is None:
                 self._evacuated_domains.discard(name)
             else:
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -71,3 +71,15 @@
     deployment.store.restore(copy)
     gevent.sleep(CONFIGURATION_TIMEOUT_S)
     assert "front-1" in deployment.store.objects["entry-instances"]
+
+
+def test_evacuation_holds_while_a_restored_store_lacks_it(deployment):
+    # Guards against requests to an evacuated domain right after a restore.
+    copy = deployment.store.take_copy()
+    deployment.store.put("evacuations", "zone-a", {})
+    gevent.sleep(0.3)
+    deployment.store.restore(copy)
+    gevent.sleep(0.5)
+    assert deployment.send_request("/one/x")[0] == 503
+    gevent.sleep(CONFIGURATION_TIMEOUT_S)
+    assert deployment.send_request("/one/x")[0] == 200
