Keep an endpoint's later report when a restored store has an older one

After an outage or a restore, reports in a list are now ordered by the endpoint's start and its own count of reports; changes that a watch reports are applied as before. The test failed before.

--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -19,6 +19,7 @@
     :param draining: whether it announced its shutdown.
     :param born_ms: start time in Unix milliseconds; 0 if unknown.
     :param cold_until_ms: local time at which its cold start ends.
+    :param sequence: number of its report; starts anew with each lifetime.
     """
 
     identity: str
@@ -29,6 +30,11 @@
     draining: bool = False
     born_ms: int = 0
     cold_until_ms: float = 0.0
+    sequence: float = 0.0
+
+    def is_older_than(self, other: "Endpoint") -> bool:
+        """Return whether the other is a later report, or of a later lifetime."""
+        return (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
 
     def shift_cold_end(self, clock_offset_ms: float) -> "Endpoint":
         """Return the endpoint with the end of its cold start converted to another clock.
@@ -97,6 +103,9 @@
                 if identity not in listed:
                     listed[identity] = endpoint
                     self._missing_since.setdefault(identity, now_ms)
+                elif listed[identity].is_older_than(endpoint):
+                    # The store was restored, and the endpoint may be draining since.
+                    listed[identity] = endpoint
         self._by_identity = listed
         self._missing_since = {
             identity: since for identity, since in self._missing_since.items() if identity in listed
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -74,6 +74,8 @@
     # Remaining cold-start time in milliseconds when the entry was written.
     cold_left_ms: float = 0.0
     born: int = 0
+    # Increases with each report of one lifetime.
+    seq: float = 0.0
 
 
 class _Instance(msgspec.Struct):
@@ -150,6 +152,7 @@
             entry.state == "draining",
             entry.born,
             now_ms + entry.cold_left_ms if entry.cold_left_ms > 0 else 0.0,
+            entry.seq,
         )
     )
 
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 from deployments import Deployment, register_with_each_other
-from platformsim import make_route
+from platformsim import make_entry, make_route
 
 # Time limit of the platform for applying a configuration.
 CONFIGURATION_TIMEOUT_S = 3.0
@@ -83,3 +83,17 @@
     assert deployment.send_request("/one/x")[0] == 503
     gevent.sleep(CONFIGURATION_TIMEOUT_S)
     assert deployment.send_request("/one/x")[0] == 200
+
+
+def test_draining_endpoint_gets_nothing_though_a_restored_store_calls_it_ready(deployment):
+    # Guards against new work for an endpoint that is leaving, from an older report of it.
+    copy = deployment.store.take_copy()
+    searcher = deployment.searchers["i-1"]
+    deployment.store.put("servers", "i-1", make_entry(searcher, "s1", state="draining", seq=2))
+    gevent.sleep(0.7)
+    deployment.store.restore(copy)
+    gevent.sleep(0.5)
+    assert deployment.send_request("/one/x")[0] == 503
+    deployment.store.put("servers", "i-1", make_entry(searcher, "s1", born=1_700_000_900_000))
+    gevent.sleep(0.7)
+    assert deployment.send_request("/one/x")[0] == 200
