Copy the newer version of a peer after a restore

Peers announce the version in effect as well, and an instance whose version stays behind copies the state of that peer. The test failed before.

--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -144,7 +144,10 @@
         for feed in self.feeds:
             feed.on_store_recovered = self._handle_store_recovery
         self._peer_fetch: gevent.Greenlet[[Member], None] | None = None
-        self._lag_detectors = {feed.name: LagDetector() for feed in self.feeds}
+        self._lag_detectors: dict[str, LagDetector[StorePosition]] = {
+            feed.name: LagDetector() for feed in self.feeds
+        }
+        self._version_lag: LagDetector[int] = LagDetector()
         self.relay_handler = RelayHandler(
             {
                 CONFIGURATION: ChangeRelay(self.configuration_feed, TABLE_FORMAT, clock, timers),
@@ -213,6 +216,7 @@
             self.configuration_feed.newest,
             self.endpoint_feed.newest,
             self.evacuation_feed.newest,
+            self.version,
         )
 
     def compare_with_peer(self, peer: Member, newest: Positions) -> None:
@@ -223,6 +227,7 @@
         self._compare_feed_with_peer(self.configuration_feed, newest.configuration, peer)
         self._compare_feed_with_peer(self.endpoint_feed, newest.endpoints, peer)
         self._compare_feed_with_peer(self.evacuation_feed, newest.evacuations, peer)
+        self._compare_version_with_peer(newest, peer)
 
     def _compare_feed_with_peer(
         self, feed: Feed[Any], announced: StorePosition, peer: Member
@@ -231,6 +236,16 @@
         if self._lag_detectors[feed.name].observe(announced, own, self._clock.now_ms()):
             self._recover_stuck_feed(feed, own, announced, peer)
 
+    def _compare_version_with_peer(self, newest: Positions, peer: Member) -> None:
+        """Copy the state of a peer whose version is newer though its position is not.
+
+        A restored store may have an older version until the operator has written it again.
+        """
+        if newest.configuration > self.configuration_feed.known_position:
+            return
+        if self._version_lag.observe(newest.version, self.version, self._clock.now_ms()):
+            self._start_peer_fetch(peer)
+
     def _log_rejected(self, kind: str, rejected: tuple[Failure, ...]) -> None:
         for failure in rejected:
             self._observer.log.record(events.ENTRY_REJECTED, kind=kind, reason=failure.message)
@@ -367,6 +382,9 @@
             return
         # The store does not answer this instance. The call in progress is not repeated again:
         # its timeout is longer than the interval at which the lag is reported.
+        self._start_peer_fetch(peer)
+
+    def _start_peer_fetch(self, peer: Member) -> None:
         if self._peer_fetch is None or self._peer_fetch.dead:
             self._peer_fetch = gevent.spawn(self._fetch_peer_state, peer)
 
--- a/src/persimmonspur/entry/wire.py
+++ b/src/persimmonspur/entry/wire.py
@@ -9,11 +9,15 @@
 
 
 class Positions(msgspec.Struct, frozen=True, array_like=True):
-    """Positions in the store of the latest known changes."""
+    """Positions in the store of the latest known changes.
+
+    :param version: version of the configuration in effect; 0 without one.
+    """
 
     configuration: StorePosition
     endpoints: StorePosition
     evacuations: StorePosition
+    version: int = 0
 
 
 class TableMessage(msgspec.Struct):
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -97,3 +97,21 @@
     deployment.store.put("servers", "i-1", make_entry(searcher, "s1", born=1_700_000_900_000))
     gevent.sleep(0.7)
     assert deployment.send_request("/one/x")[0] == 200
+
+
+def test_instance_that_starts_on_an_older_copy_takes_the_newer_version_of_a_peer(
+    deployment, tmp_path
+):
+    # Guards against an instance that serves an older version until the operator writes again.
+    copy = deployment.store.take_copy()
+    deployment.configure(make_route(service="s2"), version=2)
+    gevent.sleep(0.3)
+    deployment.store.restore(copy)
+    second = Deployment(tmp_path, store=deployment.store, name="front-2")
+    try:
+        second.start()
+        register_with_each_other(deployment, second)
+        gevent.sleep(CONFIGURATION_TIMEOUT_S)
+        assert second.send_request("/one/x")[1]["x-server-stamp"] == "i-2.abc"
+    finally:
+        second.close()
