Continue the watch after a list from its first page

Found while looking at lists that span a restore: the watch continued from the revision of the last page, so a change to an earlier page, made while later ones were read, was missed for good. The test failed before.

--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -99,7 +99,7 @@
         objects: list[StoreObject] = []
         malformed_count = 0
         after = ""
-        era: int | None = None
+        position: StorePosition | None = None
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
             response = self._request("GET", f"/-/objects/{kind}{query}", b"", timeout_ms)
@@ -108,11 +108,13 @@
             page = _decode(response.ok.body, _List)
             if page.is_error():
                 return Error(page.error)
-            page_era = _parse_era(response.ok)
-            if era is not None and page_era != era:
+            era = _parse_era(response.ok)
+            if position is None:
+                # Pages before a later one may have changed since they were read.
+                position = StorePosition(era, page.ok.store_revision)
+            if era != position.era:
                 reason = f"store: restored while {kind} was listed"
                 return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
-            era = page_era
             for item in page.ok.items:
                 converted = _convert_object(item)
                 if converted is None:
@@ -120,7 +122,6 @@
                     continue
                 objects.append(converted)
             if not page.ok.has_more or not objects:
-                position = StorePosition(era, page.ok.store_revision)
                 return Ok(Listing(tuple(objects), position, malformed_count))
             after = objects[-1].meta.name
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -119,3 +119,14 @@
         fake_store.put("servers", f"i-{index}", {})
     fake_store.on_list = lambda after: fake_store.restore(copy) if after else None
     assert store.list("servers").error.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+def test_change_to_an_earlier_page_of_a_list_is_not_missed(fake_store, store):
+    # Guards against a watch that continues after changes to pages that were already read.
+    fake_store.page_size = 1
+    for index in range(2):
+        fake_store.put("servers", f"i-{index}", {})
+    fake_store.on_list = lambda after: fake_store.delete("servers", "i-0") if after else None
+    listing = store.list("servers").ok
+    changes = store.watch("servers", listing.position, 50.0).ok.changes
+    assert [(change.object.meta.name, change.removed) for change in changes] == [("i-0", True)]
