Log the fingerprint of a request whose connection was lost

To tell the hypotheses apart: repetitions of a request have different ids, so the log could not show that one request lost connection after connection, and a crash looked like a response that broke off. send_failed now says whether the connection ended before any byte of a response, and has a digest of the method, host, target and body. No change of behaviour.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -14,6 +14,7 @@
     record_send_failure,
 )
 from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.fingerprint import compute_fingerprint
 from persimmonspur.core.fleet.merge import merge_top_records
 from persimmonspur.core.fleet.messages import (
     AttemptKind,
@@ -240,6 +241,8 @@
             endpoint=identity,
             ran=failure.ran.value,
             reason=failure.reason,
+            connection_lost=failure.connection_lost,
+            fingerprint=compute_fingerprint(self._request) if failure.connection_lost else "",
         )
         self._retry_or_fail(shard, reached_endpoint=failure.ran is not Ran.NO)
 
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -65,10 +65,13 @@
     """A send that ended without a response.
 
     :param ran: ``NO`` only if the request certainly did not reach the endpoint.
+    :param connection_lost: whether the connection ended before any byte of a response, as
+        when the endpoint crashes.
     """
 
     ran: Ran
     reason: str
+    connection_lost: bool = False
 
 
 SendResult = EndpointResponse | SendFailure
--- a/src/persimmonspur/entry/connections.py
+++ b/src/persimmonspur/entry/connections.py
@@ -24,7 +24,10 @@
 
 
 class Call:
-    """One request that waits for its response."""
+    """One request that waits for its response.
+
+    :ivar connection_lost: whether the connection ended before any byte of the response.
+    """
 
     def __init__(
         self, data: bytes, accepts: Accepts, on_response: OnResponse, on_failure: OnFailure
@@ -41,6 +44,7 @@
         self.connection: Connection | None = None
         self.timer: TimerHandle | None = None
         self.done = False
+        self.connection_lost = False
 
     def cancel(self) -> None:
         """Close the connection without calling either callback."""
@@ -177,6 +181,8 @@
     def _on_end(self, reason: str) -> None:
         if not reason and self._call is not None and self._parser.finish():
             return
+        if self._call is not None:
+            self._call.connection_lost = not self._parser.in_message
         self._fail(Ran.UNKNOWN, reason or "the peer closed the connection")
 
     def _on_response(self, response: HttpResponse) -> None:
--- a/src/persimmonspur/entry/sender.py
+++ b/src/persimmonspur/entry/sender.py
@@ -94,7 +94,7 @@
             on_result(self._codec.parse_response(response))
 
         def on_failure(ran: Ran, reason: str) -> None:
-            on_result(SendFailure(ran, reason))
+            on_result(SendFailure(ran, reason, call.connection_lost))
 
         call = Call(
             self._codec.format_request(request, endpoint, timeout_ms),
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -92,6 +92,12 @@
         self.ended = True
         self.on_result(SendFailure(ran, reason))
 
+    def lose_connection(self):
+        if self.ended:
+            return
+        self.ended = True
+        self.on_result(SendFailure(Ran.UNKNOWN, "the peer closed the connection", True))
+
 
 @define
 class SimSender:
