Quarantine requests that crash the endpoints that run them

Callers of half of all requests got 503 or 502 for as long as one deadly request came again, since nothing remembered it: each repetition was sent to an endpoint of every shard, lost with each, and sent again.

A lost connection without a byte of a response now makes a request suspected until an endpoint answers it. A suspected request is sent to one endpoint at a time; once one answers, the rest is sent as usual, so sound requests that were caught in the crash lose little time. Three crashed endpoints, two of them after sends made although it was suspected, put it into a quarantine of ten minutes: it is rejected at once, truly not run, with the time that is left; then one endpoint is tried. What an instance knows travels with the heartbeats, at once after a change and then in turns, so all instances act on it together and one that restarts learns it again; reports are bounded and expire. This works because it needs no knowledge of the request, and because crashes at one moment, however many, only raise suspicion: a quarantine needs later ones.

--- a/src/persimmonspur/core/fleet/context.py
+++ b/src/persimmonspur/core/fleet/context.py
@@ -12,6 +12,7 @@
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
 from persimmonspur.core.fleet.messages import EndpointResponse, Sender, SendFailure, Timers
 from persimmonspur.core.fleet.progress import Attempt
+from persimmonspur.core.fleet.quarantine import Quarantine
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.core.routing.latency import LatencyEstimator
@@ -36,6 +37,7 @@
     retry_budget: RetryBudget
     cold_start_limit: ColdStartLimit
     rate_limit: EndpointRateLimit
+    quarantine: Quarantine
     response_format: ResponseFormat
     on_decision: Callable[..., None]
     count_send: Callable[[str], None]
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -13,8 +13,8 @@
     record_endpoint_response,
     record_send_failure,
 )
+from persimmonspur.core.fleet.crashguard import CrashGuard
 from persimmonspur.core.fleet.endpoints import Endpoint
-from persimmonspur.core.fleet.fingerprint import compute_fingerprint
 from persimmonspur.core.fleet.merge import merge_top_records
 from persimmonspur.core.fleet.messages import (
     AttemptKind,
@@ -86,6 +86,7 @@
         if request.timeout_ms is not None:
             wait_ms = min(wait_ms, request.timeout_ms)
         self._deadline_ms = request.arrived_ms + wait_ms
+        self._guard = CrashGuard(context.quarantine, request)
         self._timers: list[TimerHandle] = []
         self._done = False
         self._partial_allowed = False
@@ -98,6 +99,10 @@
 
     def start(self) -> None:
         """Send to every service, or reject the request if too few have a usable endpoint."""
+        self._guard.begin()
+        if self._guard.quarantined:
+            self._reject("quarantined", self._guard.get_retry_after_ms())
+            return
         now_ms = self._context.clock.now_ms()
         choose = self._chooser.choose
         endpoints = [choose(shard.service, shard.tried, now_ms) for shard in self._shards]
@@ -112,6 +117,9 @@
             if endpoint is None:
                 self._fail_shard(shard, "no usable endpoint")
                 continue
+            if not self._guard.may_send():
+                shard.held = True
+                continue
             self._context.retry_budget.record_first_attempt(shard.service, now_ms)
             if not self._send(shard, endpoint, AttemptKind.FIRST):
                 self._send_to_another(shard, is_retry=False)
@@ -128,6 +136,7 @@
             return
         self._cancel_timers()
         self._done = True
+        self._guard.finish()
         if self._route.repeatable:
             self._cancel_attempts()
 
@@ -165,6 +174,7 @@
         record = self._record_attempt(endpoint, kind, now_ms)
         shard.running[number] = Attempt(number, endpoint, record, send)
         shard.send_count += 1
+        self._guard.record_sent(number)
         self._attempts.append(record)
         self._context.selector.record_sent(endpoint.identity, number, now_ms)
         self._context.rate_limit.record_sent(endpoint.identity, now_ms)
@@ -220,13 +230,42 @@
         else:
             attempt.record.result = str(result.status)
             self._handle_response(shard, attempt, result, now_ms)
-        if not self._done:
-            self._respond_if_settled()
+        if self._done:
+            self._guard.finish()
+            return
+        if self._guard.quarantined:
+            self._end_quarantined()
+            return
+        self._resume_held_shards()
+        self._respond_if_settled()
+
+    def _resume_held_shards(self) -> None:
+        """Send for the shards that were held, as far as the request is no longer suspected."""
+        for shard in self._shards:
+            if not shard.held or shard.settled:
+                continue
+            if not self._guard.may_send():
+                return
+            shard.held = False
+            if not shard.tried:
+                now_ms = self._context.clock.now_ms()
+                self._context.retry_budget.record_first_attempt(shard.service, now_ms)
+            self._send_to_another(shard, is_retry=bool(shard.tried))
+
+    def _end_quarantined(self) -> None:
+        """End a request that crashes endpoints, before those that still have it run it."""
+        if self._route.repeatable:
+            self._cancel_attempts()
+        self._respond_outcome_unknown("quarantined", 502)
 
     def _handle_failure(
         self, shard: ShardProgress, attempt: Attempt, failure: SendFailure, now_ms: float
     ) -> None:
         record_send_failure(self._context.selector, attempt, failure, now_ms)
+        if failure.connection_lost:
+            self._guard.record_lost(attempt)
+        else:
+            self._guard.record_ended(attempt.number)
         identity = attempt.endpoint.identity
         shard.reason = f"{identity}: {failure.reason}"
         if failure.ran is Ran.NO:
@@ -242,7 +281,7 @@
             ran=failure.ran.value,
             reason=failure.reason,
             connection_lost=failure.connection_lost,
-            fingerprint=compute_fingerprint(self._request) if failure.connection_lost else "",
+            fingerprint=self._guard.fingerprint if failure.connection_lost else "",
         )
         self._retry_or_fail(shard, reached_endpoint=failure.ran is not Ran.NO)
 
@@ -260,7 +299,10 @@
         if response.misdirected:
             # No endpoint of the service has seen the request.
             shard.send_count -= 1
-        if response.ran is not Ran.NO:
+        if response.ran is Ran.NO:
+            self._guard.record_ended(attempt.number)
+        else:
+            self._guard.record_answered()
             shard.may_have_run = True
         if shard.settled or self._done:
             return
@@ -298,6 +340,9 @@
         if shard.may_have_run and not self._route.repeatable:
             self._fail_shard(shard, shard.reason)
             return
+        if not self._guard.may_send():
+            shard.held = True
+            return
         self._send_to_another(shard, is_retry=reached_endpoint)
 
     def _fail_shard(self, shard: ShardProgress, reason: str) -> None:
@@ -321,6 +366,8 @@
             )
 
     def _hedge_shard(self, shard: ShardProgress, now_ms: float) -> bool:
+        if self._guard.suspected:
+            return False
         endpoint = self._chooser.choose(shard.service, shard.tried, now_ms)
         if endpoint is None:
             return False
@@ -439,6 +486,7 @@
     def _finish(self, response: ClientResponse) -> None:
         self._done = True
         self._cancel_timers()
+        self._guard.finish()
         reasons = "; ".join(shard.reason for shard in self._shards if shard.reason)
         self._respond(
             ClientResponse(
--- a/src/persimmonspur/core/fleet/progress.py
+++ b/src/persimmonspur/core/fleet/progress.py
@@ -32,6 +32,8 @@
     :param result: successful response; ``None`` while there is none.
     :param may_have_run: whether some endpoint may have run the request.
     :param last_response: latest response of an endpoint that ran the request.
+    :param held: whether a send waits until the request is no longer suspected to crash
+        endpoints.
     :param reason: why there is no result, for the log.
     """
 
@@ -43,6 +45,7 @@
     failed: bool = False
     may_have_run: bool = False
     last_response: EndpointResponse | None = None
+    held: bool = False
     reason: str = ""
 
     @property
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -111,6 +111,12 @@
     "INFO",
     "sending request {request_id} to endpoint {endpoint} failed: {reason}",
 )
+REQUEST_STANDING = define_event(
+    6403,
+    "request_standing",
+    "WARNING",
+    "the request with fingerprint {fingerprint} is {standing}: endpoints {endpoints} crashed",
+)
 
 # Events about decisions on single requests, by the name that the core passes.
 DECISIONS: dict[str, EventType] = {SEND_FAILED.name: SEND_FAILED}
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -18,11 +18,14 @@
     Membership,
 )
 from persimmonspur.core.fleet.position import NO_POSITION
+from persimmonspur.core.fleet.quarantine import CrashReport
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.entry.sockets import READ_EVENT, parse_address
 from persimmonspur.entry.wire import Positions
 
 MAX_DATAGRAM_BYTES = 1_400
+# As many as fit into a datagram beside the rest of the heartbeat.
+CRASH_REPORTS_PER_HEARTBEAT = 3
 # Heartbeat intervals are multiples of this interval.
 TICK_INTERVAL_MS = ENTRY_SET_HEARTBEAT_INTERVAL_MS
 
@@ -33,6 +36,7 @@
     :param newest: positions in the store of the latest changes that the sender knows.
     :param interval_ms: time until the sender's next heartbeat; 0 if none follows.
     :param capability: capacity of the sender's machine, in cores.
+    :param crash_reports: some of the requests that crash endpoints.
     """
 
     name: str
@@ -45,6 +49,7 @@
     newest: Positions
     interval_ms: float
     capability: float
+    crash_reports: list[CrashReport] = []
 
 
 @frozen
@@ -67,13 +72,16 @@
         membership: Membership,
         get_own_state: Callable[[], OwnState],
         on_heartbeat: Callable[[Member, Heartbeat], None],
+        select_crash_reports: Callable[[int], list[CrashReport]],
     ) -> None:
         """Bind the peer address and start the timer.
 
         :param get_own_state: returns the state to announce.
         :param on_heartbeat: called with the sender and the heartbeat received from it.
+        :param select_crash_reports: returns at most a number of crash reports to send.
         :raises OSError: if the address cannot be bound.
         """
+        self._select_crash_reports = select_crash_reports
         self._membership = membership
         self._get_own_state = get_own_state
         self._on_heartbeat = on_heartbeat
@@ -107,6 +115,7 @@
                 state.newest_positions,
                 state.interval_ms,
                 own.capability,
+                self._select_crash_reports(CRASH_REPORTS_PER_HEARTBEAT),
             )
         )
         for peer in self._membership.peers():
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -17,6 +17,7 @@
     RELAY_HEARTBEAT_INTERVAL_MS,
     Membership,
 )
+from persimmonspur.core.fleet.quarantine import CrashReport, Quarantine, Standing
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.relays import RelaySelector
 from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE, Member
@@ -113,6 +114,7 @@
         )
         self.cold_start_limit = ColdStartLimit(settings.member.name)
         self.rate_limit = EndpointRateLimit(self.observer.record_rate_limit)
+        self.quarantine = Quarantine(clock, self._share_crash_report)
         self.sender = EndpointSender(codecs.endpoint, self._get_max_connections, clock, timers)
         self.exchange_context = ExchangeContext(
             clock,
@@ -124,6 +126,7 @@
             self.retry_budget,
             self.cold_start_limit,
             self.rate_limit,
+            self.quarantine,
             codecs.response_format,
             self.observer.record_decision,
             self.observer.metrics.count_send,
@@ -151,7 +154,10 @@
         :raises OSError: if the peer address cannot be bound.
         """
         self.heartbeats = HeartbeatTransport(
-            self.membership, self._get_own_state, self._on_heartbeat
+            self.membership,
+            self._get_own_state,
+            self._on_heartbeat,
+            self.quarantine.select_shared,
         )
         self._peer_server = self.serve(
             self.settings.member.peer_address,
@@ -259,6 +265,11 @@
         if self.heartbeats is not None:
             self.heartbeats.send()
 
+    def _share_crash_report(self, report: CrashReport, standing: Standing) -> None:
+        self.observer.record_crash_report(report, standing)
+        if self.heartbeats is not None:
+            self.heartbeats.send()
+
     def _log_source_change(self, source: str, reason: str) -> None:
         self.log.record(events.SOURCE_CHANGED, source=source, reason=reason)
 
@@ -294,6 +305,7 @@
                 ready=heartbeat.ready,
             )
         self.state.compare_with_peer(member, heartbeat.newest)
+        self.quarantine.merge(heartbeat.crash_reports)
 
     def _run_maintenance(self) -> None:
         if self.heartbeats is None:
@@ -307,6 +319,7 @@
         self.cold_start_limit.retain(identities)
         self.rate_limit.retain(identities)
         self.sender.retain(identities)
+        self.quarantine.expire()
         self._update_limit_shares()
 
     def _update_limit_shares(self) -> None:
@@ -379,6 +392,12 @@
             "state",
             self._count_endpoints,
         )
+        metrics.add_gauge(
+            "persimmonspur_crashing_requests",
+            "Requests that are suspected to crash endpoints, or quarantined because they do",
+            "standing",
+            self.quarantine.count,
+        )
         metrics.add_gauge(
             "persimmonspur_retry_budget_used_ratio",
             "Spent part of this instance's share of the retry budget",
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -6,6 +6,7 @@
 
 from persimmonspur.core.fleet.messages import AttemptRecord, ClientRequest, ClientResponse
 from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
+from persimmonspur.core.fleet.quarantine import CrashReport, Standing
 from persimmonspur.core.fleet.routes import Route
 from persimmonspur.entry import events
 from persimmonspur.entry.eventlog import EventLog
@@ -58,6 +59,16 @@
         else:
             self.log.record(events.ENDPOINT_LIMIT_ENDED, endpoint=endpoint)
 
+    def record_crash_report(self, report: CrashReport, standing: Standing) -> None:
+        """Log what is known about a request that may crash endpoints."""
+        self.log.record(
+            events.REQUEST_STANDING,
+            fingerprint=report.fingerprint,
+            standing=standing.value,
+            endpoints=report.endpoints,
+            failed_trials=report.failed_trials,
+        )
+
     def record_finished(self, finished: FinishedRequest) -> None:
         """Count a finished request and log it within the rate limit."""
         response = finished.response
