Bound the size of crash reports, and play restores in the soak

A report holds digests of endpoint lifetimes now, not their names, whose length is not ours to choose: a heartbeat with long ones would not fit into a datagram and its sender would count as silent.

The soak restores its store from a copy that lacks changes; the lost entries of the operator and the searchers are written again, and a change follows.

--- a/src/persimmonspur/core/fleet/crashguard.py
+++ b/src/persimmonspur/core/fleet/crashguard.py
@@ -5,7 +5,7 @@
 lost in the crash of another, so the rest of it is sent as usual.
 """
 
-from persimmonspur.core.fleet.fingerprint import compute_fingerprint
+from persimmonspur.core.fleet.fingerprint import compute_fingerprint, compute_lifetime_digest
 from persimmonspur.core.fleet.messages import ClientRequest
 from persimmonspur.core.fleet.progress import Attempt
 from persimmonspur.core.fleet.quarantine import Quarantine, Standing
@@ -62,10 +62,8 @@
             return
         self._suspected = True
         self._lost = True
-        endpoint = attempt.endpoint
-        standing = self._quarantine.record_crash(
-            self.fingerprint, f"{endpoint.identity}/{endpoint.born_ms}", is_trial
-        )
+        lifetime = compute_lifetime_digest(attempt.endpoint)
+        standing = self._quarantine.record_crash(self.fingerprint, lifetime, is_trial)
         self.quarantined = standing is Standing.QUARANTINED
 
     def record_answered(self) -> None:
--- a/src/persimmonspur/core/fleet/quarantine.py
+++ b/src/persimmonspur/core/fleet/quarantine.py
@@ -35,14 +35,15 @@
     """Crashes of endpoints while they had one request.
 
     :param fingerprint: identifies the request; see :mod:`persimmonspur.core.fleet.fingerprint`.
-    :param endpoints: lifetimes of the endpoints, at most :data:`QUARANTINE_CRASHES`.
+    :param lifetimes: digests of the lifetimes of the crashed endpoints, at most
+        :data:`QUARANTINE_CRASHES`.
     :param failed_trials: crashes after sends that were made although it was suspected.
     :param crashed_ms: wall-clock time of the latest crash.
     :param cleared_ms: wall-clock time at which an endpoint last answered it; 0 if none did.
     """
 
     fingerprint: str
-    endpoints: tuple[str, ...] = ()
+    lifetimes: tuple[str, ...] = ()
     failed_trials: int = 0
     crashed_ms: float = 0.0
     cleared_ms: float = 0.0
@@ -50,7 +51,7 @@
     @property
     def convicting(self) -> bool:
         """Whether the crashes suffice for a quarantine."""
-        return len(self.endpoints) >= QUARANTINE_CRASHES and self.failed_trials >= QUARANTINE_TRIALS
+        return len(self.lifetimes) >= QUARANTINE_CRASHES and self.failed_trials >= QUARANTINE_TRIALS
 
     def get_standing(self, now_ms: float) -> Standing:
         """Return the standing of the request.
@@ -63,10 +64,10 @@
             return Standing.QUARANTINED
         return Standing.SUSPECTED
 
-    def add_crash(self, endpoint: str, is_trial: bool, now_ms: float) -> "CrashReport":
+    def add_crash(self, lifetime: str, is_trial: bool, now_ms: float) -> "CrashReport":
         """Return the report with one more crash."""
         return self.merge(
-            CrashReport(self.fingerprint, (endpoint,), self.failed_trials + is_trial, now_ms)
+            CrashReport(self.fingerprint, (lifetime,), self.failed_trials + is_trial, now_ms)
         )
 
     def clear(self, now_ms: float) -> "CrashReport":
@@ -84,10 +85,10 @@
         for report in (self, other):
             if report.crashed_ms <= cleared_ms:
                 continue
-            endpoints = tuple(dict.fromkeys((*merged.endpoints, *report.endpoints)))
+            lifetimes = tuple(dict.fromkeys((*merged.lifetimes, *report.lifetimes)))
             merged = evolve(
                 merged,
-                endpoints=endpoints[:QUARANTINE_CRASHES],
+                lifetimes=lifetimes[:QUARANTINE_CRASHES],
                 failed_trials=max(merged.failed_trials, report.failed_trials),
             )
         return merged
@@ -136,17 +137,17 @@
             return 0.0
         return max(0.0, report.crashed_ms + QUARANTINE_MS - self._clock.wall_ms())
 
-    def record_crash(self, fingerprint: str, endpoint: str, is_trial: bool) -> Standing:
+    def record_crash(self, fingerprint: str, lifetime: str, is_trial: bool) -> Standing:
         """Record that an endpoint crashed while it had a request.
 
-        :param endpoint: identifies the lifetime of the endpoint.
+        :param lifetime: digest of the lifetime of the endpoint.
         :param is_trial: whether it was sent although it was suspected.
         :returns: the new standing of the request.
         """
         now_ms = self._clock.wall_ms()
         report = self._reports.pop(fingerprint, CrashReport(fingerprint))
         before = report.get_standing(now_ms)
-        report = report.add_crash(endpoint, is_trial, now_ms)
+        report = report.add_crash(lifetime, is_trial, now_ms)
         self._insert(report)
         standing = report.get_standing(now_ms)
         if standing is Standing.QUARANTINED and before is not standing:
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -115,7 +115,8 @@
     6403,
     "request_standing",
     "WARNING",
-    "the request with fingerprint {fingerprint} is {standing}: endpoints {endpoints} crashed",
+    "the request with fingerprint {fingerprint} is {standing}: {crashes} or more endpoints "
+    "crashed, {failed_trials} of them in trials",
 )
 
 # Events about decisions on single requests, by the name that the core passes.
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -65,7 +65,7 @@
             events.REQUEST_STANDING,
             fingerprint=report.fingerprint,
             standing=standing.value,
-            endpoints=report.endpoints,
+            crashes=len(report.lifetimes),
             failed_trials=report.failed_trials,
         )
 
--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -79,15 +79,23 @@
         objects = {kind: dict(items) for kind, items in self.objects.items()}
         return objects, self.revision, list(self.events)
 
-    def restore(self, copy):
+    def restore(self, copy, rewritten_kinds=()):
         """Lose all changes since a copy; their revisions are given out again.
 
         Watches that wait are cut off.
+
+        :param rewritten_kinds: kinds whose writers write the lost objects again.
         """
+        lost = {kind: self.objects.get(kind, {}) for kind in rewritten_kinds}
         objects, self.revision, self.events = copy
+        self.oldest_revision = min(self.oldest_revision, self.revision)
         self.objects.clear()
         self.objects.update(objects)
         self.era += 1
+        for kind, items in lost.items():
+            for name, item in items.items():
+                if self.objects.get(kind, {}).get(name) != item:
+                    self.put(kind, name, item["spec"])
         self._notify_watches()
 
     def _add_event(self, kind, item, removed):
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -234,6 +234,21 @@
         self.store.compact_history()
         self.store_disturbances.add(now_s, now_s)
 
+    def restore_store(self):
+        """Restore the store from a copy that lacks changes; one more follows soon after it."""
+        copy = self.store.take_copy()
+        for _ in range(self.rng.randint(0, 2)):
+            self.change_configuration()
+        gevent.sleep(self.rng.uniform(0.1, MAX_FAULT_S))
+        start_s = time.monotonic()
+        fronts = [instance.front for instance in self.instances]
+        for front in fronts:
+            front.down = True
+        self.store.restore(copy, ("servers", "config"))
+        self._set_faults(fronts, "down")
+        self.store_disturbances.add(start_s, time.monotonic())
+        self.change_configuration()
+
     def _disturb_store(self, fault):
         start_s = time.monotonic()
         fronts = [instance.front for instance in self.instances]
@@ -312,6 +327,7 @@
         silence_store_after_a_change,
         take_store_down,
         compact_history,
+        restore_store,
         turn_instances_away,
         leave_instances_unanswered,
         freeze,
