End requests in progress when a repetition is quarantined

Two repetitions that two instances got within 0.1 s crashed 22 endpoints, and the service had too few for 2 s: the second one's sends went on although the first was quarantined after 0.1 s. Requests in progress with the fingerprint now end as soon as it is quarantined, here or by a peer, and their connections close, so endpoints that have not begun drop them.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -140,6 +140,12 @@
         if self._route.repeatable:
             self._cancel_attempts()
 
+    def end_if_quarantined(self) -> None:
+        """Stop if a repetition of the request got it into the quarantine meanwhile."""
+        self._guard.begin()
+        if not self._done and self._guard.quarantined:
+            self._end_quarantined()
+
     def _set_timers(self, now_ms: float, remaining_ms: float) -> None:
         if self._done:
             return
--- a/src/persimmonspur/core/fleet/quarantine.py
+++ b/src/persimmonspur/core/fleet/quarantine.py
@@ -103,6 +103,8 @@
     """The crash reports that this instance knows, at most :data:`MAX_REPORTS`.
 
     Times are on the wall clock, since instances exchange reports and outlive each other.
+
+    :ivar on_quarantined: called when a request gets into the quarantine.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self._on_change = on_change
         self._reports: dict[str, CrashReport] = {}
         self._shared: dict[str, None] = {}
+        self.on_quarantined: Callable[[], None] | None = None
 
     @property
     def empty(self) -> bool:
@@ -152,6 +155,7 @@
         standing = report.get_standing(now_ms)
         if standing is Standing.QUARANTINED and before is not standing:
             self.share(fingerprint)
+            self._notify_quarantined()
         return standing
 
     def record_answer(self, fingerprint: str) -> None:
@@ -173,6 +177,7 @@
     def merge(self, reports: Iterable[CrashReport]) -> None:
         """Add the reports of another instance."""
         now_ms = self._clock.wall_ms()
+        quarantined = False
         for received in reports:
             if received.is_expired(now_ms):
                 continue
@@ -183,6 +188,9 @@
             self._reports.pop(received.fingerprint, None)
             self._insert(merged)
             self._mark_shared(received.fingerprint)
+            quarantined = quarantined or merged.get_standing(now_ms) is Standing.QUARANTINED
+        if quarantined:
+            self._notify_quarantined()
 
     def select_shared(self, count: int) -> list[CrashReport]:
         """Return reports for the next message to the other instances.
@@ -220,6 +228,10 @@
             minor = [name for name, known in self._reports.items() if not known.convicting]
             self._drop(next(iter(minor or self._reports)))
 
+    def _notify_quarantined(self) -> None:
+        if self.on_quarantined is not None:
+            self.on_quarantined()
+
     def _drop(self, fingerprint: str) -> None:
         self._reports.pop(fingerprint, None)
         self._shared.pop(fingerprint, None)
--- a/src/persimmonspur/entry/handlers.py
+++ b/src/persimmonspur/entry/handlers.py
@@ -23,10 +23,7 @@
 
 
 class RequestHandler:
-    """Routes client requests to endpoints.
-
-    :ivar running: number of requests in progress.
-    """
+    """Routes client requests to endpoints."""
 
     def __init__(
         self,
@@ -44,7 +41,17 @@
         self._codec = codec
         self._on_finished = on_finished
         self._rotation = WeightedRotation()
-        self.running = 0
+        self._running: set[Exchange] = set()
+
+    @property
+    def running(self) -> int:
+        """Number of requests in progress."""
+        return len(self._running)
+
+    def end_quarantined(self) -> None:
+        """End the requests in progress that are now known to crash endpoints."""
+        for exchange in list(self._running):
+            exchange.end_if_quarantined()
 
     def handle(self, request: HttpRequest, respond: Respond) -> Callable[[], None] | None:
         """Start to handle one request."""
@@ -75,7 +82,7 @@
             return None
 
         def record_end(response: ClientResponse) -> None:
-            self.running -= 1
+            self._running.discard(exchange)
             duration_ms = self._exchange_context.clock.now_ms() - client_request.arrived_ms
             self._on_finished(
                 FinishedRequest(client_request, route, table.version, response, duration_ms)
@@ -88,7 +95,7 @@
         exchange = Exchange(
             self._exchange_context, table, route, services, client_request, send_response
         )
-        self.running += 1
+        self._running.add(exchange)
 
         def on_disconnect() -> None:
             if exchange.done:
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -135,6 +135,7 @@
         self.request_handler = RequestHandler(
             self.exchange_context, self.state.routes, codecs.client, self.observer.record_finished
         )
+        self.quarantine.on_quarantined = self.request_handler.end_quarantined
         self.leaving = False
         self.heartbeats: HeartbeatTransport | None = None
         self._peer_server: HttpServer | None = None
--- a/tests/core/fleet/test_crashes.py
+++ b/tests/core/fleet/test_crashes.py
@@ -121,3 +121,19 @@
     sim.sender.sends[0].lose_connection()
     sim.timers.advance(0.8 * route.objective_ms)
     assert sim.counts["hedge"] == 0
+
+
+def test_request_in_progress_ends_when_a_repetition_is_quarantined():
+    # Guards against endpoints that crash although another instance knows the request already.
+    sim = SimTier()
+    route = make_gather_route()
+    sim.add_route_services(route)
+    exchange, responses = sim.start(route)
+    _, sound = sim.start(route, target=b"/sound")
+    deadly = [send for send in sim.sender.sends if send.request.target != b"/sound"]
+    for index in range(QUARANTINE_CRASHES):
+        sim.quarantine.record_crash(exchange._guard.fingerprint, f"e-{index}", True)
+    exchange.end_if_quarantined()
+    assert all(send.cancelled for send in deadly)
+    assert responses[0].status == 502 and responses[0].outcome == "quarantined"
+    assert sound == []
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -239,13 +239,13 @@
             return route.gather.shards
         return (route.targets[0].service,)
 
-    def start(self, route, timeout_ms=1_000.0, method="GET"):
+    def start(self, route, timeout_ms=1_000.0, method="GET", target=b"/a/b"):
         table = RouteTable(1, (route,), self.services, ClientLimits())
         request = ClientRequest(
             f"request-{next(_numbers)}",
             method,
             route.host,
-            b"/a/b",
+            target,
             [],
             b"",
             timeout_ms,
