Move the building of client responses out of the exchange

What a response says for a given progress of the shards is a concern of its own; no change of behaviour, the tests of the exchange pass unchanged.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -15,7 +15,6 @@
 )
 from persimmonspur.core.fleet.crashguard import CrashGuard
 from persimmonspur.core.fleet.endpoints import Endpoint
-from persimmonspur.core.fleet.merge import merge_top_records
 from persimmonspur.core.fleet.messages import (
     AttemptKind,
     AttemptRecord,
@@ -28,6 +27,13 @@
     TimerHandle,
 )
 from persimmonspur.core.fleet.progress import Attempt, ShardProgress
+from persimmonspur.core.fleet.replies import (
+    NOT_RUN_STATUSES,
+    RETRY_AFTER_UNAVAILABLE_MS,
+    ReplyBuilder,
+    can_forward,
+    choose_retry_after_ms,
+)
 from persimmonspur.core.fleet.routes import Route, RouteTable
 from persimmonspur.errors import Ran
 
@@ -43,15 +49,6 @@
 HEDGE_RECHECK_FRACTION = 0.15
 # A request is not sent with less than this time left.
 MIN_SEND_TIMEOUT_MS = 5.0
-RETRY_AFTER_UNAVAILABLE_MS = 400.0
-# Retry delay given to clients that are rejected because all endpoints are full, in multiples
-# of the latency objective: about the time in which a full queue drains. The jitter spreads
-# the retries of different clients.
-RETRY_AFTER_MIN_OBJECTIVES = 1.0
-RETRY_AFTER_JITTER_OBJECTIVES = 2.0
-
-# Statuses that tell a client that its request did not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 _attempt_numbers = itertools.count(1)
 
@@ -86,6 +83,7 @@
         if request.timeout_ms is not None:
             wait_ms = min(wait_ms, request.timeout_ms)
         self._deadline_ms = request.arrived_ms + wait_ms
+        self._replies = ReplyBuilder(context.response_format, route, self._shards)
         self._guard = CrashGuard(context.quarantine, request)
         self._timers: list[TimerHandle] = []
         self._done = False
@@ -101,7 +99,7 @@
         """Send to every service, or reject the request if too few have a usable endpoint."""
         self._guard.begin()
         if self._guard.quarantined:
-            self._reject("quarantined", self._guard.get_retry_after_ms())
+            self._finish(self._replies.reject("quarantined", self._guard.get_retry_after_ms()))
             return
         now_ms = self._context.clock.now_ms()
         choose = self._chooser.choose
@@ -111,7 +109,7 @@
             return
         remaining_ms = self._deadline_ms - now_ms - RESPONSE_MARGIN_MS
         if remaining_ms < MIN_SEND_TIMEOUT_MS:
-            self._reject("too_late", self._choose_retry_after_ms())
+            self._reject("too_late")
             return
         for shard, endpoint in zip(self._shards, endpoints, strict=True):
             if endpoint is None:
@@ -262,7 +260,7 @@
         """End a request that crashes endpoints, before those that still have it run it."""
         if self._route.repeatable:
             self._cancel_attempts()
-        self._respond_outcome_unknown("quarantined", 502)
+        self._finish(self._replies.report_unknown("quarantined", 502))
 
     def _handle_failure(
         self, shard: ShardProgress, attempt: Attempt, failure: SendFailure, now_ms: float
@@ -393,13 +391,13 @@
     def _handle_deadline(self) -> None:
         if self._done:
             return
-        if self._route.gather is not None and self._is_enough(self._count_covered()):
-            self._respond_merged("partial")
+        if self._route.gather is not None and self._is_enough(self._replies.count_covered()):
+            self._finish(self._replies.merge("partial"))
             return
         if any(shard.send_count or shard.may_have_run for shard in self._shards):
-            self._respond_outcome_unknown("timeout", 504)
+            self._finish(self._replies.report_unknown("timeout", 504))
         else:
-            self._reject("timeout_unsent", self._choose_retry_after_ms())
+            self._reject("timeout_unsent")
 
     def _respond_if_settled(self) -> None:
         """Respond if no better response can be expected."""
@@ -408,9 +406,9 @@
         if self._route.gather is None:
             self._respond_if_shard_settled(self._shards[0])
             return
-        covered = self._count_covered()
+        covered = self._replies.count_covered()
         if covered == len(self._shards):
-            self._respond_merged("complete")
+            self._finish(self._replies.merge("complete"))
             return
         possible = sum(not shard.failed for shard in self._shards)
         if not self._is_enough(possible):
@@ -418,18 +416,16 @@
             return
         unsettled = any(not shard.settled for shard in self._shards)
         if self._is_enough(covered) and (self._partial_allowed or not unsettled):
-            self._respond_merged("partial")
+            self._finish(self._replies.merge("partial"))
 
     def _respond_if_shard_settled(self, shard: ShardProgress) -> None:
         if shard.result is not None:
-            self._forward_response(shard, "complete")
+            assert shard.last_response is not None
+            self._finish(self._replies.forward(shard.last_response, "complete"))
             return
         if shard.failed:
             self._respond_failed("failed")
 
-    def _count_covered(self) -> int:
-        return sum(shard.result is not None for shard in self._shards)
-
     def _is_enough(self, shard_count: int) -> bool:
         gather = self._route.gather
         if gather is None:
@@ -438,56 +434,27 @@
 
     def _respond_failed(self, outcome: str) -> None:
         if not any(shard.may_have_run or shard.running for shard in self._shards):
-            self._reject(outcome, self._choose_retry_after_ms())
+            self._reject(outcome)
             return
         shard = self._shards[0]
         response = shard.last_response
-        if self._route.gather is None and response is not None and _can_forward(response):
-            self._forward_response(shard, "endpoint_error")
+        if self._route.gather is None and response is not None and can_forward(response):
+            self._finish(self._replies.forward(response, "endpoint_error"))
             return
-        self._respond_outcome_unknown(outcome, 502)
-
-    def _forward_response(self, shard: ShardProgress, outcome: str) -> None:
-        assert shard.last_response is not None
-        response = shard.last_response
-        headers = self._context.response_format.format_endpoint_response(response)
-        self._finish(ClientResponse(response.status, headers, response.body, outcome, 1, 1))
-
-    def _respond_merged(self, outcome: str) -> None:
-        gather = self._route.gather
-        assert gather is not None
-        results = [shard.result for shard in self._shards if shard.result is not None]
-        body = merge_top_records((result.body for result in results), gather.top_records)
-        headers = self._context.response_format.format_merged_response(
-            results, len(self._shards) - len(results)
-        )
-        response = ClientResponse(200, headers, body, outcome, len(results), len(self._shards))
-        self._finish(response)
+        self._finish(self._replies.report_unknown(outcome, 502))
 
     def _reject_at_start(self) -> None:
         """Reject the request before anything was sent."""
         usable = self._context.endpoints.usable
         available = sum(bool(usable(shard.service)) for shard in self._shards)
         if self._is_enough(available):
-            self._reject("full", self._choose_retry_after_ms())
+            self._reject("full")
         else:
-            self._reject("unavailable", RETRY_AFTER_UNAVAILABLE_MS)
-
-    def _choose_retry_after_ms(self) -> float:
-        jitter = RETRY_AFTER_JITTER_OBJECTIVES * self._context.rng.random()
-        return (RETRY_AFTER_MIN_OBJECTIVES + jitter) * self._route.objective_ms
-
-    def _reject(self, outcome: str, retry_after_ms: float) -> None:
-        headers = self._context.response_format.format_rejection(retry_after_ms)
-        body = b"not run: " + outcome.encode()
-        self._finish(ClientResponse(503, headers, body, outcome, 0, len(self._shards)))
-
-    def _respond_outcome_unknown(self, outcome: str, status: int) -> None:
-        body = b"outcome unknown: " + outcome.encode()
-        headers = self._context.response_format.format_failure()
-        self._finish(
-            ClientResponse(status, headers, body, outcome, self._count_covered(), len(self._shards))
-        )
+            self._finish(self._replies.reject("unavailable", RETRY_AFTER_UNAVAILABLE_MS))
+
+    def _reject(self, outcome: str) -> None:
+        retry_after_ms = choose_retry_after_ms(self._route, self._context.rng)
+        self._finish(self._replies.reject(outcome, retry_after_ms))
 
     def _finish(self, response: ClientResponse) -> None:
         self._done = True
@@ -521,13 +488,3 @@
                 )
                 attempt.send.cancel()
             shard.running.clear()
-
-
-def _can_forward(response: EndpointResponse) -> bool:
-    """Return whether an endpoint's error response can be forwarded to the client.
-
-    A status that says that the request did not run would be false after it ran.
-    """
-    return (
-        bool(response.stamp) and response.status >= 400 and response.status not in NOT_RUN_STATUSES
-    )
