Send crash reports no more often than every 50 ms

When many endpoints crash at once, each request that ended unanswered made its instance send a heartbeat to all others. The first report still goes out at once; the log lines about reports are within the limit for requests.

--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -17,6 +17,7 @@
     RELAY_HEARTBEAT_INTERVAL_MS,
     Membership,
 )
+from persimmonspur.core.fleet.messages import TimerHandle
 from persimmonspur.core.fleet.quarantine import CrashReport, Quarantine, Standing
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.relays import RelaySelector
@@ -37,6 +38,8 @@
 from persimmonspur.entry.timers import LoopTimers
 
 MAINTENANCE_INTERVAL_MS = 500.0
+# Crash reports are sent at once, but no more often than this, when many endpoints crash.
+SHARE_INTERVAL_MS = 50.0
 DEFAULT_MAX_CONNECTIONS = 64
 STORE_RETRY_MS = 200.0
 MAX_STORE_RETRY_MS = 2_000.0
@@ -142,6 +145,8 @@
         self._last_maintenance_ms = 0.0
         self._total_stall_ms = 0.0
         self._store_restored = Event()
+        self._share_timer: TimerHandle | None = None
+        self._last_share_ms = -SHARE_INTERVAL_MS
         self._register_gauges()
 
     @property
@@ -268,6 +273,13 @@
 
     def _share_crash_report(self, report: CrashReport, standing: Standing) -> None:
         self.observer.record_crash_report(report, standing)
+        if self._share_timer is None:
+            delay_ms = max(0.0, self._last_share_ms + SHARE_INTERVAL_MS - self.clock.now_ms())
+            self._share_timer = self.timers.call_later(delay_ms, self._send_crash_reports)
+
+    def _send_crash_reports(self) -> None:
+        self._share_timer = None
+        self._last_share_ms = self.clock.now_ms()
         if self.heartbeats is not None:
             self.heartbeats.send()
 
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -61,13 +61,13 @@
 
     def record_crash_report(self, report: CrashReport, standing: Standing) -> None:
         """Log what is known about a request that may crash endpoints."""
-        self.log.record(
-            events.REQUEST_STANDING,
-            fingerprint=report.fingerprint,
-            standing=standing.value,
-            crashes=len(report.lifetimes),
-            failed_trials=report.failed_trials,
-        )
+        fields = {
+            "fingerprint": report.fingerprint,
+            "standing": standing.value,
+            "crashes": len(report.lifetimes),
+            "failed_trials": report.failed_trials,
+        }
+        self.log.record_request(events.REQUEST_STANDING, True, lambda: fields)
 
     def record_finished(self, finished: FinishedRequest) -> None:
         """Count a finished request and log it within the rate limit."""
