--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -227,6 +227,8 @@
         while not self.leaving:
             self._store_restored.clear()
             gevent.sleep(self._rng.random() * REREGISTRATION_SPREAD_MS / 1000)
+            if self.leaving:
+                return
             self._register()
             # The others repeat their registrations within the same time.
             gevent.sleep(REREGISTRATION_SPREAD_MS / 1000)
--- a/tests/platform/test_restored.py
+++ b/tests/platform/test_restored.py
@@ -115,3 +115,14 @@
         assert second.send_request("/one/x")[1]["x-server-stamp"] == "i-2.abc"
     finally:
         second.close()
+
+
+def test_leaving_instance_does_not_register_again_after_a_restore(deployment, monkeypatch):
+    # Guards against registrations of instances that are gone.
+    gevent.sleep(0.3)
+    monkeypatch.setattr(deployment.instance._rng, "random", lambda: 1.0)
+    deployment.store.restore(deployment.store.take_copy())
+    gevent.sleep(0.6)
+    deployment.instance.leave()
+    gevent.sleep(CONFIGURATION_TIMEOUT_S)
+    assert deployment.store.objects["entry-instances"] == {}
