Tell peers early of a request in progress that loses endpoints

Two repetitions within 0.2 s at two instances crashed an endpoint of each shard twice, and sound requests got 503 for 2 s: the second instance learnt of the first one's losses only when that had ended, and closing the connections of its sends did not save their endpoints. After three losses without an answer a report goes out at once, so a repetition elsewhere begins with one endpoint.

--- a/src/persimmonspur/core/fleet/crashguard.py
+++ b/src/persimmonspur/core/fleet/crashguard.py
@@ -10,6 +10,10 @@
 from persimmonspur.core.fleet.progress import Attempt
 from persimmonspur.core.fleet.quarantine import Quarantine, Standing
 
+# The other instances are told of a request in progress after this many losses without an
+# answer, since repetitions may reach them before it ends.
+SHARED_LOSSES = 3
+
 
 class CrashGuard:
     """Decides how many sends of one request may be in progress.
@@ -23,7 +27,7 @@
         self._fingerprint = ""
         self._answered = False
         self._suspected = False
-        self._lost = False
+        self._lost_count = 0
         self._trial: int | None = None
         self.quarantined = False
 
@@ -61,10 +65,12 @@
         if self._answered:
             return
         self._suspected = True
-        self._lost = True
+        self._lost_count += 1
         lifetime = compute_lifetime_digest(attempt.endpoint)
         standing = self._quarantine.record_crash(self.fingerprint, lifetime, is_trial)
         self.quarantined = standing is Standing.QUARANTINED
+        if self._lost_count == SHARED_LOSSES and not self.quarantined:
+            self._quarantine.share(self.fingerprint)
 
     def record_answered(self) -> None:
         """Record that an endpoint ran the request and lives."""
@@ -74,7 +80,7 @@
 
     def finish(self) -> None:
         """Tell the other instances of crashes if the request is still suspected."""
-        if self._lost and self.suspected and not self.quarantined:
+        if self._lost_count and self.suspected and not self.quarantined:
             self._quarantine.share(self.fingerprint)
 
     def get_retry_after_ms(self) -> float:
