--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -46,7 +46,9 @@
         self.write(text)
         print(text, flush=True)
 
-    async def add_searcher(self, identity: str, service: str, zone: str, **fields: float) -> Searcher:
+    async def add_searcher(
+        self, identity: str, service: str, zone: str, **fields: float
+    ) -> Searcher:
         """Start a searcher and register it."""
         searcher = Searcher(identity, service, zone, **fields)
         await searcher.listen()
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 
 from standins.http import Message, read_message
-from standins.store import Store
 
 LOOKUP_TTL_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import shlex
 import socket
 import subprocess
@@ -36,25 +37,28 @@
 }
 ZONES = ("zone-a", "zone-b", "zone-c")
 START_TIMEOUT_S = 20.0
+# Below the ports that Linux gives to outgoing connections.
+PORTS = range(15_000, 32_000)
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return different free ports, for TCP and UDP."""
-    sockets = []
+    """Return different free ports, for TCP and UDP, that outgoing connections don't use."""
     ports: list[int] = []
     while len(ports) < count:
+        port = random.choice(PORTS)
+        if port in ports:
+            continue
         tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
         try:
+            tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
+            ports.append(port)
         except OSError:
             continue
-        ports.append(port)
-    for sock in sockets:
-        sock.close()
+        finally:
+            tcp.close()
+            udp.close()
     return ports
 
 
@@ -100,9 +104,15 @@
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "platform"],
             "tolerate": {"machines": 2, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
-            "platform": {"addr": store, "form": "objects", "writes_per_s": 400,
-                         "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576,
-                         "min_ttl_ms": 1000},
+            "platform": {
+                "addr": store,
+                "form": "objects",
+                "writes_per_s": 400,
+                "reads_per_s": 2000,
+                "history_s": 20,
+                "value_bytes": 1048576,
+                "min_ttl_ms": 1000,
+            },
         }
         self._settings.write_text(json.dumps(settings))
 
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -1,6 +1,8 @@
 """A minimal HTTP/1.1 server and message reader for the stand-ins, on asyncio streams."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 
 LINE_LIMIT = 1_048_576
@@ -42,6 +44,14 @@
     return "\r\n".join(lines).encode("latin-1") + body
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, rather than closing it in order."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Server:
     """Listens on a free loopback port and passes each connection to a method."""
 
@@ -55,7 +65,7 @@
         self._server = await asyncio.start_server(
             self._run, "127.0.0.1", 0, limit=LINE_LIMIT, backlog=256
         )
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     async def close(self) -> None:
         """Close the listening socket and all connections."""
@@ -66,7 +76,7 @@
     def reset_connections(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _run(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
--- a/review/standins/searcher.py
+++ b/review/standins/searcher.py
@@ -7,7 +7,7 @@
 from standins.http import Server, format_response, read_message
 from standins.store import Store
 
-BORN_MS = 1_700_000_000_000
+FIRST_BORN_MS = 1_700_000_000_000
 
 
 @dataclass
@@ -36,6 +36,7 @@
     state: str = "ready"
     cold_left_ms: int = 0
     seq: int = 1
+    born_ms: int = FIRST_BORN_MS
 
     def __post_init__(self) -> None:
         super().__init__()
@@ -56,7 +57,7 @@
             "state": self.state,
             "cold_left_ms": self.cold_left_ms,
             "seq": self.seq,
-            "born": BORN_MS,
+            "born": self.born_ms,
         }
         store.put("servers", self.identity, entry)
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -4,7 +4,7 @@
 import json
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from standins.http import Message, Server, format_response, read_message
+from standins.http import Message, Server, format_response, read_message, reset
 
 PAGE_SIZE = 500
 Change = tuple[int, str, bytes, bool]
@@ -73,7 +73,7 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the calls of one connection in order."""
         if self._down:
-            writer.transport.abort()
+            reset(writer)
             return
         while (message := await read_message(reader)) is not None:
             status, body = await self._execute(message)
