--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from standins.client import Client
 from standins.deployment import ZONES, EntryProcess
 from standins.searcher import Searcher
 from standins.store import Store
@@ -46,6 +47,20 @@
         self.write(text)
         print(text, flush=True)
 
+    def write_traffic(self, clients: list[Client]) -> None:
+        """Write what clients sent, how it was answered, and what searchers ran."""
+        lines = []
+        for record in (record for client in clients for record in client.sent):
+            answer = "no answer" if record.status is None else f"status {record.status}"
+            text = f"{record.request_id} sent: {answer} after {record.took_s * 1000:.0f} ms"
+            lines.append((record.at_s, f"{text} {record.stamp}".rstrip()))
+        for searcher in self.searchers:
+            for arrival in searcher.arrivals:
+                text = f"{arrival.request_id} reached {searcher.identity} and was run"
+                lines.append((arrival.at_s, text))
+        for at_s, text in sorted(lines):
+            self.write(text, at_s)
+
     async def add_searcher(
         self, identity: str, service: str, zone: str, **fields: float
     ) -> Searcher:
