--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -20,6 +20,7 @@
     :param born_ms: start time in Unix milliseconds; 0 if unknown.
     :param cold_until_ms: local time at which its cold start ends.
     :param sequence: number of its report; starts anew with each lifetime.
+    :param version: version of its software; empty if unknown.
     """
 
     identity: str
@@ -31,6 +32,7 @@
     born_ms: int = 0
     cold_until_ms: float = 0.0
     sequence: float = 0.0
+    version: str = ""
 
     def is_older_than(self, other: "Endpoint") -> bool:
         """Return whether the other is a later report, or of a later lifetime."""
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -5,8 +5,8 @@
 """
 
 import socket
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import gevent
 import msgspec
@@ -28,6 +28,11 @@
 CRASH_REPORTS_PER_HEARTBEAT = 3
 # Heartbeat intervals are multiples of this interval.
 TICK_INTERVAL_MS = ENTRY_SET_HEARTBEAT_INTERVAL_MS
+# Begins datagrams that are not heartbeats. MessagePack never uses this byte, so builds that
+# know only heartbeats ignore these datagrams.
+MESSAGE_PREFIX = b"\xc1"
+
+M = TypeVar("M", bound=msgspec.Struct)
 
 
 class Heartbeat(msgspec.Struct, array_like=True):
@@ -97,6 +102,31 @@
             False, Positions(NO_POSITION, NO_POSITION, NO_POSITION), NO_HEARTBEATS
         )
         self._ticks_since_send = 0
+        self._message_handlers: dict[type[Any], Callable[[Any], None]] = {}
+        self._message_decoder: msgspec.msgpack.Decoder[Any] | None = None
+
+    def register_message(self, message_type: type[M], handler: Callable[[M], None]) -> None:
+        """Receive one more type of message from other instances.
+
+        :param message_type: struct with a tag that no other message type has, encoded as an
+            array; its first field is the name of the sender.
+        :param handler: called with each message; messages may be lost, late or duplicated.
+        """
+        self._message_handlers[message_type] = handler
+        union: Any = None
+        for known_type in self._message_handlers:
+            union = known_type if union is None else union | known_type
+        self._message_decoder = msgspec.msgpack.Decoder(union)
+
+    def send_message(self, message: msgspec.Struct, peers: Iterable[Member]) -> None:
+        """Send a message to some instances, without waiting for an acknowledgement."""
+        data = MESSAGE_PREFIX + msgspec.msgpack.encode(message)
+        for peer in peers:
+            try:
+                self._sock.sendto(data, parse_address(peer.peer_address))
+            except OSError:
+                # As for heartbeats; senders do not rely on delivery.
+                continue
 
     def send(self) -> None:
         """Send a heartbeat to every other instance now."""
@@ -150,6 +180,9 @@
             except OSError:
                 # No datagram left, or an ICMP error for one that was sent earlier.
                 return
+            if data.startswith(MESSAGE_PREFIX):
+                self._receive_message(data[len(MESSAGE_PREFIX) :])
+                continue
             try:
                 heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
             except msgspec.DecodeError:
@@ -165,3 +198,13 @@
                 heartbeat.capability,
             )
             self._on_heartbeat(member, heartbeat)
+
+    def _receive_message(self, data: bytes) -> None:
+        if self._message_decoder is None:
+            return
+        try:
+            message = self._message_decoder.decode(data)
+        except msgspec.DecodeError:
+            # Of a type that this build does not know.
+            return
+        self._message_handlers[type(message)](message)
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -26,6 +26,7 @@
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.entry import events
 from persimmonspur.entry.eventlog import EventLog
+from persimmonspur.entry.features import NO_FEATURES, FeatureSettings
 from persimmonspur.entry.feeds import MAX_LIST_TIMEOUT_MS
 from persimmonspur.entry.handlers import ClientCodec, RequestHandler
 from persimmonspur.entry.heartbeats import Heartbeat, HeartbeatTransport, OwnState
@@ -63,6 +64,7 @@
         without first attempts.
     :param retry_window_ms: length of the sliding window of the retry budget.
     :param first_start: whether the whole deployment starts for the first time.
+    :param features: bounds of optional parts.
     """
 
     member: Member
@@ -71,6 +73,7 @@
     retry_slack: float
     retry_window_ms: float
     first_start: bool = False
+    features: FeatureSettings = NO_FEATURES
 
 
 @frozen
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -76,6 +76,7 @@
     born: int = 0
     # Increases with each report of one lifetime.
     seq: float = 0.0
+    version: str = ""
 
 
 class _Instance(msgspec.Struct):
@@ -153,6 +154,7 @@
             entry.born,
             now_ms + entry.cold_left_ms if entry.cold_left_ms > 0 else 0.0,
             entry.seq,
+            entry.version,
         )
     )
 
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -169,6 +169,7 @@
         settings.retry_slack,
         settings.retry_window_ms,
         settings.first_start,
+        settings.features,
     )
     sources = StoreSources(
         open_configuration_source(store),
--- a/src/persimmonspur/platform/settings.py
+++ b/src/persimmonspur/platform/settings.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
+from persimmonspur.entry.features import NO_FEATURES, FeatureSettings
 from persimmonspur.errors import ErrorKind, Failure
 
 SETTINGS_VARIABLE = "PERSIMMONSPUR_BOOT"
@@ -24,6 +25,15 @@
     retry_window_s: float = 10
     retry_slack: float = 10
     ttl_max_s: float = 5
+    strict_revoke: bool = False
+    revoke_ms: float = 5_000
+    quota_window_s: float = 5
+    quota_overshoot: float = 0
+    quota_slack: float = 0
+    # Missing in deployments without roll-outs.
+    exposure_share: float | None = None
+    exposure_slack: float = 0
+    rollback_ms: float = 5_000
 
 
 class _Store(msgspec.Struct):
@@ -35,6 +45,8 @@
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _Document(msgspec.Struct):
@@ -68,6 +80,7 @@
     :param cores: CPU time per second that the machine provides, in cores.
     :param link_mbps: bandwidth of the machine's network link; 0 if it is not limited.
     :param first_start: whether the whole deployment starts for the first time.
+    :param features: bounds of optional parts.
     """
 
     instance: str
@@ -86,6 +99,7 @@
     cores: float
     link_mbps: float
     first_start: bool = False
+    features: FeatureSettings = NO_FEATURES
 
 
 def load_entry_settings(path: str) -> Result[EntrySettings, Failure]:
@@ -150,6 +164,22 @@
         document.limits.cpu_share * document.limits.cores,
         document.limits.link_mbps,
         document.bootstrap,
+        _build_features(bounds, document.limits),
+    )
+
+
+def _build_features(bounds: _Bounds, limits: _Limits) -> FeatureSettings:
+    return FeatureSettings(
+        bounds.strict_revoke,
+        bounds.revoke_ms,
+        bounds.quota_window_s * 1000,
+        bounds.quota_overshoot,
+        bounds.quota_slack,
+        bounds.exposure_share,
+        bounds.exposure_slack,
+        bounds.rollback_ms,
+        limits.memory_mb,
+        limits.max_fds,
     )
 
 
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -1,12 +1,19 @@
+import socket
+
+import gevent
 import msgspec
 
 from persimmonspur.core.fleet.fingerprint import LIFETIME_DIGEST_BYTES, REQUEST_DIGEST_BYTES
-from persimmonspur.core.fleet.position import StorePosition
+from persimmonspur.core.fleet.members import Membership
+from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.core.fleet.quarantine import QUARANTINE_CRASHES, CrashReport
+from persimmonspur.core.fleet.roles import Member
 from persimmonspur.entry.heartbeats import (
     CRASH_REPORTS_PER_HEARTBEAT,
     MAX_DATAGRAM_BYTES,
     Heartbeat,
+    HeartbeatTransport,
+    OwnState,
 )
 from persimmonspur.entry.wire import Positions
 
@@ -39,3 +46,40 @@
     data = msgspec.msgpack.encode(heartbeat)
     assert len(data) < MAX_DATAGRAM_BYTES
     assert msgspec.msgpack.decode(data, type=Heartbeat) == heartbeat
+
+
+class Greeting(msgspec.Struct, array_like=True, tag="greeting"):
+    sender: str
+    value: int
+
+
+class Farewell(msgspec.Struct, array_like=True, tag="farewell"):
+    sender: str
+
+
+def open_transport(name, on_heartbeat=lambda member, heartbeat: None):
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    member = Member(name, 1, "zone-a", "region", address, address, 1.0)
+    state = OwnState(False, Positions(NO_POSITION, NO_POSITION, NO_POSITION), 0.0)
+    transport = HeartbeatTransport(
+        Membership(member), lambda: state, on_heartbeat, lambda limit: []
+    )
+    return member, transport
+
+
+def test_messages_reach_their_handlers_and_unknown_ones_are_ignored():
+    # Guards against a message of one type that is taken for another, or that ends the reader.
+    received = []
+    _, sender = open_transport("a")
+    member, receiver = open_transport("b")
+    try:
+        receiver.register_message(Greeting, received.append)
+        sender.send_message(Farewell("a"), [member])
+        sender.send_message(Greeting("a", 7), [member])
+        gevent.sleep(0.05)
+    finally:
+        sender.close()
+        receiver.close()
+    assert received == [Greeting("a", 7)]
