Leave the time of the client's network to partial responses

Cause: a gather that misses shards responded after 0.9 of the latency objective, counted from the request's arrival. The objective is counted at the client: with 10.8 ms of round trip and a handshake, a response that left after 84 of 93 ms arrived late. Ruled out: processor time (the same without it), and a lower fraction, which leaves shards out for clients nearby as well. Change: the cutoff is the objective less the round trip of the connection (TCP_INFO), the time that the client's budget shows as spent, and 6 ms; 0.9 of the objective at most.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -14,6 +14,7 @@
     record_send_failure,
 )
 from persimmonspur.core.fleet.crashguard import CrashGuard
+from persimmonspur.core.fleet.cutoff import choose_partial_ms
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.messages import (
     AttemptKind,
@@ -39,8 +40,6 @@
 
 # The response is sent this long before the deadline so that it arrives in time.
 RESPONSE_MARGIN_MS = 15.0
-# Fraction of the latency objective after which a gather responds without the late shards.
-PARTIAL_RESPONSE_FRACTION = 0.9
 # Latest time of the first hedge, as a fraction of the latency objective.
 MAX_HEDGE_DELAY_FRACTION = 0.45
 MIN_HEDGE_DELAY_MS = 4.0
@@ -174,7 +173,7 @@
             self._schedule_hedges(delay_ms)
         if self._route.gather is not None:
             elapsed_ms = now_ms - self._request.arrived_ms
-            delay_ms = max(0.0, PARTIAL_RESPONSE_FRACTION * objective_ms - elapsed_ms)
+            delay_ms = max(0.0, choose_partial_ms(self._route, self._request) - elapsed_ms)
             self._timers.append(timers.call_later(delay_ms, self._allow_partial))
 
     def _send(self, shard: ShardProgress, endpoint: Endpoint, kind: AttemptKind) -> bool:
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -21,6 +21,8 @@
     :param headers: without those that concern only the connection.
     :param timeout_ms: how long the client waits, from ``arrived_ms``; ``None`` if unknown.
     :param arrived_ms: local time at which the request was completely received.
+    :param round_trip_ms: round trip time to the client; 0 if unknown.
+    :param handshake_ms: time that the client took to connect for this request.
     """
 
     request_id: str
@@ -31,6 +33,8 @@
     body: bytes
     timeout_ms: float | None
     arrived_ms: float
+    round_trip_ms: float = 0.0
+    handshake_ms: float = 0.0
 
     @property
     def path(self) -> str:
--- a/src/persimmonspur/entry/server.py
+++ b/src/persimmonspur/entry/server.py
@@ -16,7 +16,13 @@
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.messages import Headers
 from persimmonspur.core.fleet.routes import ClientLimits
-from persimmonspur.entry.sockets import READ_EVENT, Stream, configure_socket, listen
+from persimmonspur.entry.sockets import (
+    READ_EVENT,
+    Stream,
+    configure_socket,
+    listen,
+    read_round_trip_ms,
+)
 
 SWEEP_INTERVAL_MS = 250.0
 # A connection is closed if the client does not read its response within this time.
@@ -41,6 +47,8 @@
     """One complete request.
 
     :param arrived_ms: local time at which the request was completely received.
+    :param round_trip_ms: round trip time to the client; 0 if unknown.
+    :param on_new_connection: whether it is the first request on its connection.
     """
 
     method: str
@@ -48,6 +56,8 @@
     headers: Headers
     body: bytes
     arrived_ms: float
+    round_trip_ms: float = 0.0
+    on_new_connection: bool = False
 
 
 @frozen
@@ -103,6 +113,7 @@
         self._head_bytes = 0
         self._error_status = 0
         self._is_head_request = False
+        self._is_new = True
         self.state_since_ms = server.clock.now_ms()
         self._stream = Stream(sock, self._on_data, self._on_end)
 
@@ -246,7 +257,10 @@
             partial_request.headers,
             b"".join(partial_request.body),
             self._server.clock.now_ms(),
+            read_round_trip_ms(self._stream.sock),
+            self._is_new,
         )
+        self._is_new = False
         self._queue.append((request, self._parser.should_keep_alive()))
 
 
--- a/src/persimmonspur/entry/sockets.py
+++ b/src/persimmonspur/entry/sockets.py
@@ -6,6 +6,7 @@
 
 import errno
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +22,9 @@
 # partitions and silently dropped connections are detected in no other way.
 USER_TIMEOUT_MS = 2_000
 LISTEN_BACKLOG = 512
+# Linux reports the smoothed round trip time, in microseconds, at this offset of ``TCP_INFO``.
+ROUND_TRIP_TIME = struct.Struct("I")
+ROUND_TRIP_TIME_OFFSET = 68
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -43,6 +47,22 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def read_round_trip_ms(sock: socket.socket) -> float:
+    """Return the round trip time of a connection as measured by the kernel.
+
+    :returns: milliseconds; 0 if the kernel does not report it.
+    """
+    size = ROUND_TRIP_TIME_OFFSET + ROUND_TRIP_TIME.size
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    except OSError:
+        return 0.0
+    if len(info) < size:
+        return 0.0
+    microseconds: int = ROUND_TRIP_TIME.unpack_from(info, ROUND_TRIP_TIME_OFFSET)[0]
+    return microseconds / 1000
+
+
 def listen(address: str) -> socket.socket:
     """Open a listening socket.
 
--- a/src/persimmonspur/platform/headers.py
+++ b/src/persimmonspur/platform/headers.py
@@ -84,6 +84,8 @@
         request.body,
         timeout_ms,
         request.arrived_ms,
+        request.round_trip_ms,
+        request.round_trip_ms if request.on_new_connection else 0.0,
     )
 
 
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -202,3 +202,16 @@
     finally:
         server.stop_accepting()
         server.close_idle()
+
+
+def test_request_knows_its_round_trip_time_and_whether_its_connection_is_new(server):
+    # Guards against a response that leaves too late for the way to the client.
+    sock = connect(server)
+    for _ in range(2):
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: host.example\r\n\r\n")
+        sock.recv(65_536)
+    first, second = server.handler.requests
+    assert 0 < first.round_trip_ms < 1_000
+    assert first.on_new_connection
+    assert not second.on_new_connection
+    sock.close()
--- a/tests/entry/test_sockets.py
+++ b/tests/entry/test_sockets.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from persimmonspur.entry.sockets import Stream, configure_socket
+from persimmonspur.entry.sockets import Stream, configure_socket, read_round_trip_ms
 
 
 def open_stream(end_reasons):
@@ -50,3 +50,11 @@
     assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 2
     assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= 3_000
     sock.close()
+
+
+def test_socket_without_a_round_trip_time_reports_none():
+    # Guards against an exception for a request on a socket of another kind.
+    own, peer = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
+    assert read_round_trip_ms(own) == 0.0
+    own.close()
+    peer.close()
