Apply changes of entries in the order of the store

Cause: StoreState applied the additions of a batch before its removals, so an entry that lapsed and returned within one response ended as removed; EndpointDirectory.replace_all kept the time since which an entry was missing although it was listed again.

Change: EndpointDirectory.apply applies changes one by one. Changes up to the position of a state copied from a peer are not passed on, and a missing evacuation is held for its full time.

--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -46,6 +46,21 @@
         return evolve(self, cold_until_ms=self.cold_until_ms + clock_offset_ms)
 
 
+@frozen
+class AppliedChange:
+    """What one change of an entry, or one step that followed from it, did.
+
+    :param before: the endpoint that was known before, if any.
+    :param after: the endpoint that is known now, ``None`` if there is none.
+    :param held: whether the entry is gone and the endpoint stays in use for now.
+    """
+
+    identity: str
+    before: Endpoint | None
+    after: Endpoint | None
+    held: bool = False
+
+
 class EndpointDirectory:
     """Known endpoints, and by service those that may get new requests.
 
@@ -58,6 +73,9 @@
         self._by_identity: dict[str, Endpoint] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._missing_since: dict[str, float] = {}
+        # Endpoints that were dropped lately, and when. They are held after all if the rest of
+        # their service follows, whether or not the removals came in one batch.
+        self._dropped: dict[str, tuple[Endpoint, float]] = {}
         self._usable: dict[str, tuple[Endpoint, ...]] = {}
         self.loaded = False
 
@@ -100,58 +118,105 @@
             :data:`MISSING_ENTRY_HOLD_MS`.
         """
         listed = {endpoint.identity: endpoint for endpoint in endpoints}
+        missing_since: dict[str, float] = {}
         if after_outage:
             for identity, endpoint in self._by_identity.items():
                 if identity not in listed:
                     listed[identity] = endpoint
-                    self._missing_since.setdefault(identity, now_ms)
+                    missing_since[identity] = self._missing_since.get(identity, now_ms)
                 elif listed[identity].is_older_than(endpoint):
                     # The store was restored, and the endpoint may be draining since.
                     listed[identity] = endpoint
         self._by_identity = listed
-        self._missing_since = {
-            identity: since for identity, since in self._missing_since.items() if identity in listed
-        }
+        self._missing_since = missing_since
+        self._dropped.clear()
         self.loaded = True
         self._rebuild_index()
 
+    def apply(
+        self,
+        changes: Iterable[tuple[str, Endpoint | None]],
+        after_outage: bool,
+        now_ms: float,
+    ) -> list[AppliedChange]:
+        """Apply changes of entries in the order in which the store made them.
+
+        Entries expire while the store is unavailable and reappear afterwards. After an
+        outage, or if a service would lose its last endpoint that is not draining, the
+        endpoints therefore stay in use for :data:`MISSING_ENTRY_HOLD_MS`. The result does
+        not depend on how the changes are split into batches.
+
+        :param changes: identities with their entries, ``None`` if an entry was removed.
+        :param after_outage: whether the store was recently unavailable.
+        """
+        applied: list[AppliedChange] = []
+        for identity, endpoint in changes:
+            if endpoint is None:
+                applied += self._remove_one(identity, after_outage, now_ms)
+                continue
+            applied.append(AppliedChange(identity, self._by_identity.get(identity), endpoint))
+            self._by_identity[identity] = endpoint
+            self._missing_since.pop(identity, None)
+            self._dropped.pop(identity, None)
+        self._rebuild_index()
+        return applied
+
     def put(self, endpoint: Endpoint) -> None:
         """Add or update an endpoint."""
-        self._by_identity[endpoint.identity] = endpoint
-        self._missing_since.pop(endpoint.identity, None)
-        self._rebuild_index()
+        self.apply([(endpoint.identity, endpoint)], False, 0.0)
 
     def remove(
         self, identities: Iterable[str], after_outage: bool, now_ms: float
     ) -> frozenset[str]:
-        """Remove endpoints whose entries were removed from the store.
-
-        Entries expire while the store is unavailable and reappear afterwards. After an
-        outage, or if a service would lose its last endpoint that is not draining, the
-        endpoints therefore stay in use for :data:`MISSING_ENTRY_HOLD_MS`.
+        """Remove endpoints whose entries were removed from the store; see :meth:`apply`.
 
-        :param after_outage: whether the store was recently unavailable.
         :returns: the endpoints that stay in use for now.
         """
-        removed = {identity for identity in identities if identity in self._by_identity}
-        remaining_services = {
-            endpoint.service
-            for endpoint in self._by_identity.values()
-            if endpoint.identity not in removed and not endpoint.draining
-        }
-        held = set()
-        for identity in removed:
-            endpoint = self._by_identity[identity]
-            if after_outage or (
-                endpoint.service not in remaining_services and not endpoint.draining
-            ):
-                self._missing_since.setdefault(identity, now_ms)
-                held.add(identity)
-                continue
+        removals = [(identity, None) for identity in identities]
+        applied = self.apply(removals, after_outage, now_ms)
+        return frozenset(change.identity for change in applied if change.held)
+
+    def _remove_one(self, identity: str, after_outage: bool, now_ms: float) -> list[AppliedChange]:
+        endpoint = self._by_identity.get(identity)
+        if endpoint is None or identity in self._missing_since:
+            return []
+        if after_outage:
+            return [self._hold(endpoint, now_ms)]
+        if endpoint.draining:
             del self._by_identity[identity]
-            self._missing_since.pop(identity, None)
-        self._rebuild_index()
-        return frozenset(held)
+            return [AppliedChange(identity, endpoint, None)]
+        if self._has_other_endpoint(endpoint):
+            del self._by_identity[identity]
+            self._forget_dropped(now_ms)
+            self._dropped[identity] = (endpoint, now_ms)
+            return [AppliedChange(identity, endpoint, None)]
+        applied = [self._hold(endpoint, now_ms)]
+        self._forget_dropped(now_ms)
+        for dropped, dropped_ms in list(self._dropped.values()):
+            if dropped.service == endpoint.service:
+                del self._dropped[dropped.identity]
+                applied.append(self._hold(dropped, dropped_ms))
+        return applied
+
+    def _forget_dropped(self, now_ms: float) -> None:
+        for identity, (_, dropped_ms) in list(self._dropped.items()):
+            if now_ms - dropped_ms >= MISSING_ENTRY_HOLD_MS:
+                del self._dropped[identity]
+
+    def _hold(self, endpoint: Endpoint, since_ms: float) -> AppliedChange:
+        before = self._by_identity.get(endpoint.identity)
+        self._by_identity[endpoint.identity] = endpoint
+        self._missing_since[endpoint.identity] = since_ms
+        return AppliedChange(endpoint.identity, before, endpoint, held=True)
+
+    def _has_other_endpoint(self, endpoint: Endpoint) -> bool:
+        """Return whether the service has another endpoint with an entry that is not draining."""
+        for other in self._by_identity.values():
+            if other.service != endpoint.service or other.draining:
+                continue
+            if other.identity != endpoint.identity and other.identity not in self._missing_since:
+                return True
+        return False
 
     def expire(self, now_ms: float) -> list[str]:
         """Remove held endpoints whose entries did not reappear in time.
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -136,6 +136,7 @@
         self._list_timeout_ms = FIRST_LIST_TIMEOUT_MS
         self.position = NO_POSITION
         self.newest = NO_POSITION
+        self._copied_position = NO_POSITION
         self.items: dict[str, T] = {}
         self.last_success_ms = 0.0
         self.unanswered_restarts = 0
@@ -169,8 +170,13 @@
         return self._clock.now_ms() - self._call_started_ms
 
     def advance_newest(self, position: StorePosition) -> None:
-        """Record that state up to a position was received from a peer."""
+        """Record that state up to a position was received from a peer.
+
+        Changes up to that position, which this feed has yet to receive, are not passed on:
+        each of them may be older than the state of the peer.
+        """
         self.newest = max(self.newest, position)
+        self._copied_position = max(self._copied_position, position)
 
     def start(self) -> None:
         """Start the greenlet that follows the store."""
@@ -232,6 +238,7 @@
         self._probing = True
         snapshot = listed.ok
         recovering = self._is_recovering()
+        self._copied_position = NO_POSITION
         self._on_snapshot(snapshot, recovering)
         self._record_list(snapshot, recovering)
         self.position = snapshot.position
@@ -272,7 +279,8 @@
 
     def _apply(self, updates: Updates[T]) -> None:
         recovering = updates.recovering or self._is_recovering()
-        if updates.changes or updates.rejected:
+        is_known = updates.position <= self._copied_position
+        if (updates.changes or updates.rejected) and not is_known:
             self._on_updates(updates, recovering)
         batch = ChangeBatch(
             self.position, updates.position, updates.newest, updates.changes, recovering
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -10,7 +10,12 @@
 from gevent.event import Event
 
 from persimmonspur.clock import Clock
-from persimmonspur.core.fleet.endpoints import MISSING_ENTRY_HOLD_MS, Endpoint, EndpointDirectory
+from persimmonspur.core.fleet.endpoints import (
+    MISSING_ENTRY_HOLD_MS,
+    AppliedChange,
+    Endpoint,
+    EndpointDirectory,
+)
 from persimmonspur.core.fleet.lag import LagDetector
 from persimmonspur.core.fleet.messages import Timers
 from persimmonspur.core.fleet.position import StorePosition
@@ -127,7 +132,8 @@
         self.store_recovered = Event()
         self.on_initialized: Callable[[], None] | None = None
         self._evacuated_domains: set[str] = set()
-        self._missing_evacuations: set[str] = set()
+        # Evacuations that a list lacked after an outage, and the time of that list.
+        self._missing_evacuations: dict[str, float] = {}
         self.evacuation_feed: Feed[str] = Feed(
             EVACUATIONS,
             RelayedSource(EVACUATIONS, sources.evacuations, relay_client, EVACUATION_FORMAT),
@@ -306,32 +312,32 @@
 
     def _apply_endpoint_updates(self, updates: Updates[Endpoint], after_outage: bool) -> None:
         self._log_rejected("endpoint", updates.rejected)
-        removed = [identity for identity, endpoint in updates.changes if endpoint is None]
-        for identity, endpoint in updates.changes:
-            if endpoint is None:
-                continue
-            known = self.endpoints.get(identity)
-            self.endpoints.put(endpoint)
-            if known is None or known.draining != endpoint.draining:
-                self._observer.log.record(
-                    events.ENDPOINT_CHANGED,
-                    endpoint=identity,
-                    service=endpoint.service,
-                    address=endpoint.address,
-                    draining=endpoint.draining,
-                    cold_ms=max(0, round(endpoint.cold_until_ms - self._clock.now_ms())),
-                    revision=updates.position.revision,
-                )
-        self._remove_endpoints(removed, after_outage)
-
-    def _remove_endpoints(self, identities: list[str], after_outage: bool) -> None:
-        held = self.endpoints.remove(identities, after_outage, self._clock.now_ms())
-        for identity in identities:
-            reason = "entry removed, endpoint held" if identity in held else "entry removed"
-            self._observer.log.record(events.ENDPOINT_REMOVED, endpoint=identity, reason=reason)
-        if held:
+        applied = self.endpoints.apply(updates.changes, after_outage, self._clock.now_ms())
+        for change in applied:
+            self._log_applied(change, updates.position)
+        if any(change.held for change in applied):
             self._timers.call_later(MISSING_ENTRY_HOLD_MS + 1, self._expire_endpoints)
 
+    def _log_applied(self, change: AppliedChange, position: StorePosition) -> None:
+        before, endpoint = change.before, change.after
+        if endpoint is None or change.held:
+            reason = "entry removed, endpoint held" if change.held else "entry removed"
+            self._observer.log.record(
+                events.ENDPOINT_REMOVED, endpoint=change.identity, reason=reason
+            )
+            return
+        if before is not None and before.draining == endpoint.draining:
+            return
+        self._observer.log.record(
+            events.ENDPOINT_CHANGED,
+            endpoint=change.identity,
+            service=endpoint.service,
+            address=endpoint.address,
+            draining=endpoint.draining,
+            cold_ms=max(0, round(endpoint.cold_until_ms - self._clock.now_ms())),
+            revision=position.revision,
+        )
+
     def _expire_endpoints(self) -> None:
         for identity in self.endpoints.expire(self._clock.now_ms()):
             self._observer.log.record(
@@ -342,21 +348,27 @@
         self._log_rejected("evacuation", snapshot.rejected)
         listed = set(snapshot.items)
         # A restored store lacks entries until the operator has written them again.
-        self._missing_evacuations = self._evacuated_domains - listed if after_outage else set()
-        self._evacuated_domains = listed | self._missing_evacuations
-        if self._missing_evacuations:
+        now_ms = self._clock.now_ms()
+        missing = self._evacuated_domains - listed if after_outage else set()
+        known = self._missing_evacuations
+        self._missing_evacuations = {name: known.get(name, now_ms) for name in missing}
+        self._evacuated_domains = listed | missing
+        if missing:
             self._timers.call_later(MISSING_ENTRY_HOLD_MS, self._expire_evacuations)
         self._update_evacuated_domains()
 
     def _expire_evacuations(self) -> None:
-        self._evacuated_domains -= self._missing_evacuations
-        self._missing_evacuations = set()
+        now_ms = self._clock.now_ms()
+        for name, since_ms in list(self._missing_evacuations.items()):
+            if now_ms - since_ms >= MISSING_ENTRY_HOLD_MS:
+                del self._missing_evacuations[name]
+                self._evacuated_domains.discard(name)
         self._update_evacuated_domains()
 
     def _apply_evacuation_updates(self, updates: Updates[str], after_outage: bool) -> None:
         self._log_rejected("evacuation", updates.rejected)
         for name, value in updates.changes:
-            self._missing_evacuations.discard(name)
+            self._missing_evacuations.pop(name, None)
             if value is None:
                 self._evacuated_domains.discard(name)
             else:
@@ -419,6 +431,7 @@
             self.endpoint_feed.advance_newest(state.newest.endpoints)
         if state.newest.evacuations > self.evacuation_feed.known_position:
             self._evacuated_domains = set(state.evacuated)
+            self._missing_evacuations.clear()
             self._update_evacuated_domains()
             self.evacuation_feed.advance_newest(state.newest.evacuations)
         self._observer.log.record(
