Answer requests whatever an entry names and a send raises

Cause: decode_endpoint checked only the port of an address, so connect_ex raised through Exchange.start before the timer of the deadline was set; an id that is not Latin-1 raised when the request was formatted, and a host name was looked up in the event loop.

Change: entries and registrations are fully validated where they are decoded. The timers are set before the first send; an exception fails its attempt as one that may have run. A connection that cannot be opened fails its call as not run. Integers are bounded to what messages between instances carry.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -23,6 +23,7 @@
     ClientResponse,
     EndpointResponse,
     SendFailure,
+    SendHandle,
     SendResult,
     ShardResult,
     TimerHandle,
@@ -121,6 +122,8 @@
         if remaining_ms < MIN_SEND_TIMEOUT_MS:
             self._reject("too_late")
             return
+        # Before the first send, so that the request ends whatever a send raises.
+        self._set_timers(now_ms, remaining_ms)
         for shard, endpoint in zip(self._shards, endpoints, strict=True):
             if endpoint is None:
                 self._fail_shard(shard, "no usable endpoint")
@@ -131,7 +134,6 @@
             self._context.retry_budget.record_first_attempt(shard.service, now_ms)
             if not self._send(shard, endpoint, AttemptKind.FIRST):
                 self._send_to_another(shard, is_retry=False)
-        self._set_timers(now_ms, remaining_ms)
         self._respond_if_settled()
 
     def handle_disconnect(self) -> None:
@@ -160,8 +162,6 @@
             self._end_quarantined()
 
     def _set_timers(self, now_ms: float, remaining_ms: float) -> None:
-        if self._done:
-            return
         timers = self._context.timers
         self._timers.append(timers.call_later(remaining_ms, self._handle_deadline))
         if not self._route.repeatable:
@@ -186,7 +186,13 @@
         def handle_result(result: SendResult) -> None:
             self._handle_result(shard, number, result)
 
-        send = self._context.sender.send(endpoint, self._request, remaining_ms, handle_result)
+        send: SendHandle | None
+        try:
+            send = self._context.sender.send(endpoint, self._request, remaining_ms, handle_result)
+        except Exception as error:
+            # How far the send got is unknown. The failure is handled once it is recorded.
+            failure = SendFailure(Ran.UNKNOWN, f"{type(error).__name__}: {error}")
+            send = self._context.timers.call_later(0.0, lambda: handle_result(failure))
         shard.tried.append(endpoint.identity)
         if send is None:
             return False
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -98,7 +98,7 @@
         timeout_ms: float,
         on_result: Callable[[SendResult], None],
     ) -> SendHandle | None:
-        """Send a request.
+        """Send a request. An exception counts as a failed send that may have run.
 
         :param timeout_ms: time that the endpoint may take; the send fails soon after it.
         :param on_result: called once, and only after this method has returned.
--- a/src/persimmonspur/entry/connections.py
+++ b/src/persimmonspur/entry/connections.py
@@ -116,13 +116,21 @@
         self.idle_until_ms = 0.0
         if call is not None:
             call.connection = self
-        self._connector: Connector | None = Connector(
-            pool.address, self._on_connected, self._on_connect_failed
-        )
+        self._connector = self._connect()
         self._connect_timer: TimerHandle | None = pool.timers.call_later(
             CONNECT_TIMEOUT_MS, self._on_connect_timeout
         )
 
+    def _connect(self) -> Connector | None:
+        try:
+            return Connector(self._pool.address, self._on_connected, self._on_connect_failed)
+        except (OSError, ValueError) as error:
+            # No descriptor is left, or the address is invalid. Reported later because the
+            # caller has not recorded its request yet.
+            reason = str(error)
+            self._pool.timers.call_later(0.0, lambda: self._on_connect_failed(reason))
+            return None
+
     def start(self, call: Call) -> bool:
         """Send the next request on an idle connection.
 
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -20,6 +20,7 @@
 from persimmonspur.core.fleet.position import NO_POSITION
 from persimmonspur.core.fleet.quarantine import CrashReport
 from persimmonspur.core.fleet.roles import Member
+from persimmonspur.entry.addresses import find_address_error
 from persimmonspur.entry.sockets import READ_EVENT, parse_address
 from persimmonspur.entry.wire import Positions
 
@@ -188,6 +189,8 @@
             except msgspec.DecodeError:
                 # Sent by an incompatible version; the sender counts as silent.
                 continue
+            if find_address_error(heartbeat.peer_address):
+                continue
             member = Member(
                 heartbeat.name,
                 heartbeat.incarnation,
--- a/src/persimmonspur/entry/sender.py
+++ b/src/persimmonspur/entry/sender.py
@@ -91,7 +91,7 @@
         pool.max_connections = max(MIN_CONNECTIONS, int(limit))
 
         def on_response(response: HttpResponse) -> None:
-            on_result(self._codec.parse_response(response))
+            on_result(self._parse_response(response))
 
         def on_failure(ran: Ran, reason: str) -> None:
             on_result(SendFailure(ran, reason, call.connection_lost))
@@ -102,9 +102,18 @@
             on_response,
             on_failure,
         )
-        if not pool.start(call, timeout_ms + RESPONSE_GRACE_MS):
-            return None
-        return call
+        try:
+            started = pool.start(call, timeout_ms + RESPONSE_GRACE_MS)
+        except BaseException:
+            call.cancel()
+            raise
+        return call if started else None
+
+    def _parse_response(self, response: HttpResponse) -> SendResult:
+        try:
+            return self._codec.parse_response(response)
+        except Exception as error:
+            return SendFailure(Ran.UNKNOWN, f"unreadable response: {error!r}")
 
     def retain(self, identities: frozenset[str]) -> None:
         """Close idle connections to endpoints that no longer exist.
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -1,6 +1,6 @@
 """Decodes documents of the platform's store into the project's types."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from expression import Error, Ok, Result
@@ -16,9 +16,20 @@
     ServiceLimits,
     WeightedService,
 )
+from persimmonspur.entry.addresses import find_address_error
 from persimmonspur.errors import ErrorKind, Failure
 
 ENDPOINT_STATES = ("ready", "draining")
+# Names are sent in headers and in datagrams of 1,400 bytes between instances.
+MAX_NAME_LENGTH = 255
+MAX_SLOTS = 1_000_000
+MAX_COLD_LEFT_MS = 86_400_000.0
+# Largest integer that the messages between instances can carry.
+MAX_INTEGER = 2**63 - 1
+
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class _Split(msgspec.Struct):
@@ -34,58 +45,58 @@
     timeout_ms: float
     # Latency up to which a response has its full value.
     latency_target_ms: float = 1_000.0
-    priority: int = 0
-    max_attempts: int = 1
+    priority: _Integer = 0
+    max_attempts: _Integer = 1
     service: str | None = None
     split: list[_Split] | None = None
     # Services of a scatter-gather route, one for each shard.
     gather: list[str] | None = None
-    top_k: int = 0
+    top_k: _Integer = 0
     min_share: float = 1.0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 64
+    max_conns: _Integer = 64
     # Requests per second that a cold endpoint can handle; 0 means no limit.
     cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: _Integer = 16_384
+    max_body_bytes: _Integer = 262_144
     header_timeout_ms: float = 3_000.0
     idle_timeout_ms: float = 15_000.0
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Endpoint(msgspec.Struct):
-    service: str
-    addr: str
-    zone: str
-    slots: int
+    service: _Name
+    addr: _Name
+    zone: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
     # Remaining cold-start time in milliseconds when the entry was written.
-    cold_left_ms: float = 0.0
-    born: int = 0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_LEFT_MS)] = 0.0
+    born: _Count = 0
     # Increases with each report of one lifetime.
     seq: float = 0.0
-    version: str = ""
+    version: _Name = ""
 
 
 class _Instance(msgspec.Struct):
-    incarnation: int
-    zone: str
-    region: str
-    front: str
-    peer: str
-    capability: float = 1.0
+    incarnation: _Count
+    zone: _Name
+    region: _Name
+    front: _Name
+    peer: _Name
+    capability: Annotated[float, msgspec.Meta(ge=0.0)] = 1.0
 
 
 class ObjectMeta(msgspec.Struct):
@@ -125,6 +136,17 @@
     return Ok(RouteTable(document.version, routes, services, limits))
 
 
+def find_identity_error(identity: str) -> str:
+    """Return why an identity cannot be sent in a header, or an empty string."""
+    if not identity or len(identity) > MAX_NAME_LENGTH:
+        return f"the id has {len(identity)} characters, not 1 to {MAX_NAME_LENGTH}"
+    is_latin_1 = max(identity) <= "\xff"
+    # Spaces at the ends of a header are not part of its value.
+    if not is_latin_1 or not identity.isprintable() or identity != identity.strip():
+        return "the id has characters that cannot be sent in a header"
+    return ""
+
+
 def decode_endpoint(item: StoreObject, now_ms: float) -> Result[Endpoint, Failure]:
     """Decode and validate an endpoint's entry, which any client of the store may write.
 
@@ -136,13 +158,9 @@
         return Error(_build_entry_failure(item, str(error)))
     if entry.state not in ENDPOINT_STATES:
         return Error(_build_entry_failure(item, f"unknown state {entry.state!r}"))
-    host, _, port = entry.addr.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        return Error(
-            _build_entry_failure(item, f"address {entry.addr!r} is not in the form ip:port")
-        )
-    if entry.slots < 1:
-        return Error(_build_entry_failure(item, f"slots must be at least 1, not {entry.slots}"))
+    invalid = find_identity_error(item.meta.name) or find_address_error(entry.addr)
+    if invalid:
+        return Error(_build_entry_failure(item, invalid))
     return Ok(
         Endpoint(
             item.meta.name,
@@ -165,6 +183,13 @@
         entry = msgspec.convert(item.spec, _Instance)
     except msgspec.ValidationError as error:
         return Error(_build_entry_failure(item, str(error)))
+    invalid = (
+        find_identity_error(item.meta.name)
+        or find_address_error(entry.front)
+        or find_address_error(entry.peer)
+    )
+    if invalid:
+        return Error(_build_entry_failure(item, invalid))
     return Ok(
         Member(
             item.meta.name,
--- a/src/persimmonspur/platform/headers.py
+++ b/src/persimmonspur/platform/headers.py
@@ -19,6 +19,9 @@
 MISSING_PARTS = b"X-Missing-Parts"
 RETRY_AFTER = b"Retry-After"
 
+# Longer numbers are not counts; Python refuses to convert very long ones.
+MAX_COUNT_DIGITS = 9
+
 STATUS_MISDIRECTED = 421
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
@@ -190,6 +193,16 @@
     if value is None:
         return None
     items = value.split(b",")
-    if len(items) < 2 or not (items[0].strip().isdigit() and items[1].strip().isdigit()):
+    if len(items) < 2:
+        return None
+    running, waiting = _parse_count(items[0]), _parse_count(items[1])
+    if running is None or waiting is None:
+        return None
+    return running, waiting
+
+
+def _parse_count(value: bytes) -> int | None:
+    digits = value.strip()
+    if not digits.isdigit() or len(digits) > MAX_COUNT_DIGITS:
         return None
-    return int(items[0]), int(items[1])
+    return int(digits)
--- a/tests/core/fleet/test_exchange.py
+++ b/tests/core/fleet/test_exchange.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from fleetsim import SimTier, make_gather_route, make_route
 from persimmonspur.core.fleet.routes import RequestKind
@@ -387,3 +388,69 @@
     for send in sim.sender.sends[1:10]:
         send.reply(200)
     assert responses[0].covered == 9
+
+
+class RaisingSender:
+    """Raises for some endpoints; other sends go to the sender of a simulated instance."""
+
+    def __init__(self, sender, identities):
+        self.sender = sender
+        self.identities = identities
+        self.raised = []
+
+    def send(self, endpoint, request, timeout_ms, on_result):
+        if endpoint.identity in self.identities:
+            self.raised.append(endpoint.identity)
+            raise TypeError("unreadable address")
+        return self.sender.send(endpoint, request, timeout_ms, on_result)
+
+
+def make_raising_tier(route, identities, replicas=2):
+    sim = SimTier()
+    sim.add_route_services(route, replicas)
+    sender = RaisingSender(sim.sender, identities)
+    sim.context = evolve(sim.context, sender=sender)
+    return sim, sender
+
+
+def test_request_whose_send_raises_is_answered():
+    # Guards against a request without a deadline because its first send raised.
+    route = make_route(max_attempts=1)
+    sim, sender = make_raising_tier(route, {"single-0", "single-1"})
+    _, responses = sim.start(route)
+    sim.timers.advance(1.0)
+    assert [response.status for response in responses] == [502]
+    assert len(sender.raised) == 1
+    name, fields = sim.decisions[0]
+    assert name == "send_failed" and fields["reason"] == "TypeError: unreadable address"
+
+
+def test_send_that_raises_is_repeated_at_another_endpoint():
+    route = make_route()
+    sim, sender = make_raising_tier(route, {"single-0"})
+    for _ in range(4):
+        _, responses = sim.start(route)
+        sim.timers.advance(1.0)
+        sim.sender.sends[-1].reply()
+        assert responses[0].status == 200
+    assert sender.raised
+
+
+def test_non_idempotent_request_whose_send_raised_is_not_sent_again():
+    # Guards against a second run, since a send may raise after its first bytes.
+    route = make_route(**NON_IDEMPOTENT)
+    sim, sender = make_raising_tier(route, {"single-0", "single-1"})
+    _, responses = sim.start(route)
+    sim.timers.advance(1.0)
+    assert responses[0].status == 502
+    assert len(sender.raised) == 1 and sim.sender.sends == []
+
+
+def test_gather_with_a_send_that_raises_gets_its_other_shards():
+    route = make_gather_route(4, 0.75, max_attempts=1)
+    sim, _ = make_raising_tier(route, {"shard-2-0", "shard-2-1"})
+    _, responses = sim.start(route)
+    sim.timers.advance(1.0)
+    for send in sim.sender.sends:
+        send.reply(body=b"r" * 16)
+    assert responses[0].status == 200 and responses[0].covered == 3
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -294,3 +294,24 @@
 def test_keep_alive_timeout_is_parsed():
     response = HttpResponse(200, [(b"Keep-Alive", b"timeout=7, max=100")], b"", True)
     assert parse_idle_timeout(response) == 7_000
+
+
+@pytest.mark.parametrize("error", [OSError(24, "Too many open files"), ValueError("address")])
+def test_connection_that_cannot_be_opened_fails_its_call(start_server, monkeypatch, error):
+    # Guards against an exception that leaves the request without a result when a process is
+    # out of descriptors.
+    _, pool = start_server(lambda request_id, sock: None)
+
+    def refuse(*arguments):
+        raise error
+
+    monkeypatch.setattr("persimmonspur.entry.connections.Connector", refuse)
+    outcome = AsyncResult()
+    call = Call(
+        b"1\n", lambda response: True, outcome.set, lambda ran, reason: outcome.set((ran, reason))
+    )
+    assert pool.start(call, 1_000.0)
+    assert not call.done
+    ran, reason = outcome.get(timeout=1.0)
+    assert ran is Ran.NO and str(error) in reason
+    assert pool.in_use == 0
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -83,3 +83,20 @@
         sender.close()
         receiver.close()
     assert received == [Greeting("a", 7)]
+
+
+def test_heartbeat_with_an_address_that_cannot_be_used_is_ignored():
+    # Guards against one member whose address raises and ends the heartbeats to all others.
+    received = []
+    _, transport = open_transport("own", lambda member, heartbeat: received.append(member.name))
+    positions = Positions(NO_POSITION, NO_POSITION, NO_POSITION)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        for name, address in (("a", "peer.example:80"), ("b", "10.0.0.1:x"), ("c", "10.0.0.1:80")):
+            heartbeat = Heartbeat(name, 1, "d", "r", "10.0.0.1:1", address, True, positions, 0, 1)
+            sock.sendto(msgspec.msgpack.encode(heartbeat), transport._sock.getsockname())
+        gevent.sleep(0.05)
+    finally:
+        sock.close()
+        transport.close()
+    assert received == ["c"]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -66,6 +66,30 @@
         {"addr": "nowhere"},
         {"addr": "10.0.0.1:0"},
         {"addr": 17},
+        {"addr": "\ufffd\ufffd\ufffd\ufffd:8080"},
+        {"addr": "searcher.example:80"},
+        {"addr": "localhost:80"},
+        {"addr": "10.0.0:80"},
+        {"addr": "10.0.0.256:80"},
+        {"addr": "010.0.0.1:80"},
+        {"addr": "0.0.0.0:80"},
+        {"addr": "224.0.0.1:80"},
+        {"addr": "255.255.255.255:80"},
+        {"addr": "[::1]:80"},
+        {"addr": "10.0.0.1:"},
+        {"addr": "10.0.0.1:\u00b2"},
+        {"addr": "10.0.0.1:\u0668\u0660"},
+        {"addr": "10.0.0.1:-80"},
+        {"addr": "10.0.0.1:65536"},
+        {"addr": "10.0.0.1:" + "9" * 5_000},
+        {"addr": "10.0.0.1\r\n:80"},
+        {"slots": 2**70},
+        {"born": 2**70},
+        {"born": -1},
+        {"cold_left_ms": 1e300},
+        {"service": "s" * 1_000},
+        {"zone": "z" * 1_000},
+        {"version": "v" * 100_000},
         {"slots": "4"},
         {"slots": 0},
         {"service": None},
@@ -78,6 +102,50 @@
     assert decode_endpoint(make_object(ENTRY | change), 0.0).is_error()
 
 
+@pytest.mark.parametrize(
+    "identity", ["", "i\r\nX-Other: 1", "i\x00", "i\x7f", "i-\u20ac", " i-1", "i-1 ", "i" * 1_000]
+)
+def test_endpoint_whose_id_cannot_be_sent_is_rejected(identity):
+    # Guards against requests that raise, or that carry further headers, once they are formatted.
+    assert decode_endpoint(make_object(ENTRY, identity), 0.0).is_error()
+
+
+def test_endpoint_whose_id_is_latin_1_is_accepted():
+    assert decode_endpoint(make_object(ENTRY, "caf\u00e9 1"), 0.0).ok.identity == "caf\u00e9 1"
+
+
+def test_integers_of_a_configuration_fit_into_messages_between_instances():
+    # Guards against a configuration that a relay cannot pass on to its followers.
+    document = make_configuration(2**70, [make_route()], ["s1"])
+    assert decode_route_table(document).is_error()
+    document = make_configuration(1, [make_route(priority=2**70)], ["s1"])
+    assert decode_route_table(document).is_error()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"front": "entry.example:80"},
+        {"peer": "entry.example:80"},
+        {"peer": "10.0.0.1:\u00b2"},
+        {"incarnation": 2**70},
+        {"region": "r" * 2_000},
+    ],
+)
+def test_registration_that_cannot_be_used_is_rejected(change):
+    # Guards against a lookup of a host name in the event loop, and against addresses that no
+    # client can use.
+    spec = {
+        "incarnation": 5,
+        "zone": "zone-a",
+        "region": "region",
+        "front": "10.0.0.1:1",
+        "peer": "10.0.0.1:2",
+    }
+    assert decode_member(make_object(spec)).is_ok()
+    assert decode_member(make_object(spec | change)).is_error()
+
+
 @pytest.mark.parametrize("missing", ["service", "addr", "zone", "slots", "state"])
 def test_endpoint_entry_without_a_required_field_is_rejected(missing):
     spec = {key: value for key, value in ENTRY.items() if key != missing}
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -207,6 +207,27 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("identity", "address"),
+    [
+        ("foreign", "\ufffd\ufffd\ufffd\ufffd:8080"),
+        ("foreign", "10.0.0.1:\u00b2"),
+        ("foreign", "searcher.example:80"),
+        ("foreign\u20ac", "127.0.0.1:9"),
+    ],
+)
+def test_requests_are_answered_beside_an_entry_that_cannot_be_used(deployment, identity, address):
+    # Guards against requests that get no answer since a foreign entry is chosen and its send
+    # raises.
+    searcher = deployment.add_searcher("i-1", "s1")
+    deployment.store.put("servers", identity, make_entry(searcher, "s1") | {"addr": address})
+    deployment.configure(make_route(max_attempts=1))
+    deployment.start()
+    for index in range(6):
+        assert deployment.send_request("/one/x", request_id=f"r{index}")[0] == 200
+    assert deployment.instance.state.endpoints.identities() == {"i-1"}
+
+
 def test_instance_registers_and_returns_its_own_address(deployment):
     deployment.configure()
     deployment.start()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -112,3 +112,10 @@
 
 def test_rejection_carries_a_retry_delay():
     assert headers.PlatformResponseFormat().format_rejection(250.0) == [(b"Retry-After", b"0.250")]
+
+
+@pytest.mark.parametrize("load", [b"9" * 5_000 + b",0", b"0," + b"9" * 400, b"1", b"1,-1", b"x,y"])
+def test_unreadable_load_of_an_endpoint_is_ignored(load):
+    # Guards against a response that raises, so that its request waits for the deadline.
+    response = HttpResponse(200, [(b"X-Server-Load", load)], b"", True)
+    assert headers.parse_endpoint_response(response).load is None
