--- a/tests/platform/entryprocess.py
+++ b/tests/platform/entryprocess.py
@@ -14,20 +14,30 @@
     """Starts entry processes, and ends them with the test.
 
     :ivar store: fake store that all of them use.
+    :ivar caller_address: address on which the latest process accepts client requests.
+    :ivar addresses: all TCP addresses of the latest process, by name.
     """
 
     def __init__(self, tmp_path):
         self.store = FakeStore()
         self.caller_address = ""
+        self.addresses = {}
         self._tmp_path = tmp_path
         self._processes = []
 
-    def start(self, **bounds):
+    def start(self, limits=None, **bounds):
         """Start a process.
 
+        :param limits: limits of its machine in its settings.
         :param bounds: bounds in its settings.
         """
         self.caller_address, ready, resolve, peer = find_free_addresses(4)
+        self.addresses = {
+            "front": self.caller_address,
+            "ready": ready,
+            "directory": resolve,
+            "peer": peer,
+        }
         host, _, peer_port = peer.partition(":")
         path = self._tmp_path / "settings.json"
         settings = {
@@ -39,6 +49,7 @@
             "port_range": [int(peer_port), int(peer_port)],
             "platform": {"addr": self.store.address},
             "bounds": bounds,
+            "limits": limits or {},
         }
         path.write_text(json.dumps(settings))
         process = subprocess.Popen(
