API keys of client accounts

Requests carried no identity: any client could send any request, and endpoints had to check keys themselves. Where the configuration has `tenants`, a request on a route that is not public now needs `Authorization: Token KEY`. Without a known key it gets 401 before any endpoint is contacted; with one, endpoints get the account's name in X-Tenant and never the key.

A key of two accounts belongs to the first one, which is logged. An account's priority replaces the route's. Without accounts, headers pass unchanged.

--- a/src/persimmonspur/core/fleet/formats.py
+++ b/src/persimmonspur/core/fleet/formats.py
@@ -20,5 +20,8 @@
     def format_rejection(self, retry_after_ms: float) -> Headers:
         """Return the headers of a response that says that the request did not run."""
 
+    def format_challenge(self) -> Headers:
+        """Return the headers of a response that says that a known API key is needed."""
+
     def format_failure(self) -> Headers:
         """Return the headers of a failure after which the request may have run."""
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 
+from persimmonspur.core.fleet.accounts import Account
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.errors import Ran
 
@@ -18,11 +19,12 @@
 
     :param request_id: unique for each attempt of the client.
     :param target: path and query as the client sent them.
-    :param headers: without those that concern only the connection.
+    :param headers: without those that concern only the connection, and without the API key.
     :param timeout_ms: how long the client waits, from ``arrived_ms``; ``None`` if unknown.
     :param arrived_ms: local time at which the request was completely received.
     :param round_trip_ms: round trip time to the client; 0 if unknown.
     :param handshake_ms: time that the client took to connect for this request.
+    :param account: client account of the request's API key; ``None`` without a known key.
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     arrived_ms: float
     round_trip_ms: float = 0.0
     handshake_ms: float = 0.0
+    account: Account | None = None
 
     @property
     def path(self) -> str:
--- a/src/persimmonspur/core/fleet/routes.py
+++ b/src/persimmonspur/core/fleet/routes.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, AccountDirectory
+
 
 class RequestKind(StrEnum):
     """Whether a request may run more than once."""
@@ -46,6 +48,7 @@
     :param objective_ms: latency objective, within which a response has its full value.
     :param max_attempts: maximum number of endpoints per shard that one request is sent to.
     :param priority: 0 is the most urgent.
+    :param public: whether requests need no API key.
     """
 
     name: str
@@ -58,6 +61,7 @@
     priority: int
     targets: tuple[WeightedService, ...] = ()
     gather: Gather | None = None
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -94,12 +98,13 @@
 
 @frozen
 class RouteTable:
-    """The routes and limits of one configuration version."""
+    """The routes, limits and client accounts of one configuration version."""
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceLimits]
     limits: ClientLimits
+    accounts: AccountDirectory = NO_ACCOUNTS
     _by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False, eq=False)
 
     @_by_host.default
@@ -112,6 +117,10 @@
             index[host] = tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
         return index
 
+    def needs_key(self, route: Route) -> bool:
+        """Return whether requests on a route need an API key."""
+        return self.accounts.active and not route.public
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route whose path prefix is the longest that matches.
 
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -118,6 +118,13 @@
     "the request with fingerprint {fingerprint} is {standing}: {crashes} or more endpoints "
     "crashed, {failed_trials} of them in trials",
 )
+API_KEY_SHARED = define_event(
+    6501,
+    "api_key_shared",
+    "WARNING",
+    "configuration {version} gives one API key to accounts {owner} and {other}; "
+    "it belongs to {owner}",
+)
 
 # Events about decisions on single requests, by the name that the core passes.
 DECISIONS: dict[str, EventType] = {SEND_FAILED.name: SEND_FAILED}
--- a/src/persimmonspur/entry/handlers.py
+++ b/src/persimmonspur/entry/handlers.py
@@ -5,6 +5,7 @@
 
 from attrs import evolve, frozen
 
+from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, AccountDirectory
 from persimmonspur.core.fleet.context import ExchangeContext
 from persimmonspur.core.fleet.exchange import Exchange
 from persimmonspur.core.fleet.messages import ClientRequest, ClientResponse, Headers
@@ -22,8 +23,11 @@
 class ClientCodec(Protocol):
     """Codec for client requests."""
 
-    def parse_request(self, request: HttpRequest) -> ClientRequest:
-        """Convert an HTTP request to a client request."""
+    def parse_request(self, request: HttpRequest, accounts: AccountDirectory) -> ClientRequest:
+        """Convert an HTTP request to a client request.
+
+        :param accounts: client accounts among which the request's API key is looked up.
+        """
 
 
 @frozen
@@ -31,11 +35,13 @@
     """Why a request is answered without being sent to endpoints.
 
     :param retry_after_ms: when the client may try again; ``None`` if it would not help.
+    :param is_challenge: whether the client needs an API key that is known.
     """
 
     status: int
     outcome: str
     retry_after_ms: float | None = None
+    is_challenge: bool = False
 
 
 class RequestHandler:
@@ -89,8 +95,9 @@
 
     def handle(self, request: HttpRequest, respond: Respond) -> Callable[[], None] | None:
         """Start to handle one request."""
-        client_request = self._limit_to_drain(self._codec.parse_request(request))
         table = self._routes.table
+        accounts = table.accounts if table is not None else NO_ACCOUNTS
+        client_request = self._limit_to_drain(self._codec.parse_request(request, accounts))
         route = table.find(client_request.host, client_request.path) if table is not None else None
         services = self._choose_services(route) if route is not None else ()
         refusal = self._find_refusal(client_request, table, route, services)
@@ -155,6 +162,8 @@
             return _Refusal(400, "malformed")
         if route is None:
             return _Refusal(404, "no_route")
+        if request.account is None and table.needs_key(route):
+            return _Refusal(401, "unauthorized", is_challenge=True)
         if not services:
             return _Refusal(503, "no_target", UNCONFIGURED_RETRY_AFTER_MS)
         return None
@@ -167,9 +176,11 @@
         table: RouteTable | None,
     ) -> None:
         headers: Headers = []
+        response_format = self._exchange_context.response_format
         if refusal.retry_after_ms is not None:
-            response_format = self._exchange_context.response_format
             headers = response_format.format_rejection(refusal.retry_after_ms)
+        elif refusal.is_challenge:
+            headers = response_format.format_challenge()
         outcome = refusal.outcome
         response = ClientResponse(refusal.status, headers, outcome.encode(), outcome)
         version = table.version if table is not None else 0
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from persimmonspur.core.fleet.accounts import choose_priority
 from persimmonspur.core.fleet.messages import AttemptRecord, ClientRequest, ClientResponse
 from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.core.fleet.quarantine import CrashReport, Standing
@@ -74,7 +75,8 @@
         response = finished.response
         route = finished.route
         shape = "gather" if route is not None and route.gather is not None else "single"
-        priority = route.priority if route is not None else 0
+        route_priority = route.priority if route is not None else 0
+        priority = choose_priority(finished.request.account, route_priority)
         self.metrics.count_request(shape, priority, response.outcome, finished.duration_ms / 1000)
         late = route is not None and finished.duration_ms > route.objective_ms
         notable = response.status != 200 or response.covered < response.total or late
@@ -110,12 +112,14 @@
 def _describe_finished(finished: FinishedRequest) -> dict[str, Any]:
     response = finished.response
     route = finished.route
+    account = finished.request.account
     return {
         "request_id": finished.request.request_id,
         "method": finished.request.method,
         "host": finished.request.host,
         "path": finished.request.path,
         "route": route.name if route is not None else "",
+        "account": account.name if account is not None else "",
         "version": finished.version,
         "status": response.status,
         "outcome": response.outcome,
--- a/src/persimmonspur/entry/server.py
+++ b/src/persimmonspur/entry/server.py
@@ -31,9 +31,11 @@
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
+    429: "Too Many Requests",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -287,7 +287,15 @@
             routes=len(table.routes),
             services=len(table.services),
             source=source,
+            accounts=len(table.accounts.accounts),
         )
+        for shared in table.accounts.shared_keys:
+            self._observer.log.record(
+                events.API_KEY_SHARED,
+                version=table.version,
+                owner=shared.owner,
+                other=shared.other,
+            )
         self._announce_if_initialized()
 
     def _announce_if_initialized(self) -> None:
--- a/src/persimmonspur/entry/wire.py
+++ b/src/persimmonspur/entry/wire.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, AccountDirectory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.core.fleet.routes import ClientLimits, Route, RouteTable, ServiceLimits
@@ -21,17 +22,22 @@
 
 
 class TableMessage(msgspec.Struct):
-    """A route table without its lookup index."""
+    """A route table without its lookup index.
+
+    :param accounts: client accounts with digests of their keys.
+    """
 
     version: int
     routes: list[Route]
     services: dict[str, ServiceLimits]
     limits: ClientLimits
+    accounts: AccountDirectory = NO_ACCOUNTS
 
 
 def pack_table(table: RouteTable) -> TableMessage:
     """Return the message for a route table."""
-    return TableMessage(table.version, list(table.routes), table.services, table.limits)
+    routes = list(table.routes)
+    return TableMessage(table.version, routes, table.services, table.limits, table.accounts)
 
 
 def unpack_table(message: TableMessage, clock_offset_ms: float = 0.0) -> RouteTable:
@@ -39,7 +45,13 @@
 
     :param clock_offset_ms: unused because a table contains no local times.
     """
-    return RouteTable(message.version, tuple(message.routes), message.services, message.limits)
+    return RouteTable(
+        message.version,
+        tuple(message.routes),
+        message.services,
+        message.limits,
+        message.accounts,
+    )
 
 
 def unpack_endpoint(endpoint: Endpoint, clock_offset_ms: float) -> Endpoint:
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -1,10 +1,12 @@
 """Decodes documents of the platform's store into the project's types."""
 
+import math
 from typing import Annotated, Any
 
 import msgspec
 from expression import Error, Ok, Result
 
+from persimmonspur.core.fleet.accounts import Account, AccountDirectory, build_directory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import (
@@ -53,6 +55,19 @@
     gather: list[str] | None = None
     top_k: _Integer = 0
     min_share: float = 1.0
+    # Whether requests need no API key.
+    public: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    # Replaces the priority of the route.
+    priority: _Integer | None = None
+    # Requests per second over all instances; 0 means no limit.
+    rate_per_s: float = 0.0
+    # Missing: as many requests as the rate allows in one second.
+    burst: float | None = None
 
 
 class _Service(msgspec.Struct):
@@ -74,6 +89,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Client accounts; without any, requests need no API key.
+    tenants: list[_Tenant] = []
 
 
 class _Endpoint(msgspec.Struct):
@@ -133,7 +150,11 @@
         document.limits.idle_timeout_ms,
     )
     routes = tuple(_convert_route(route) for route in document.routes)
-    return Ok(RouteTable(document.version, routes, services, limits))
+    reason = _find_tenant_error(document.tenants)
+    if reason:
+        return Error(Failure.of(ErrorKind.INVALID_CONFIGURATION, f"configuration: {reason}"))
+    accounts = _convert_tenants(document.tenants)
+    return Ok(RouteTable(document.version, routes, services, limits, accounts))
 
 
 def find_identity_error(identity: str) -> str:
@@ -237,8 +258,41 @@
         route.priority,
         targets,
         gather,
+        route.public,
     )
 
 
+def _find_tenant_error(tenants: list[_Tenant]) -> str:
+    """Return what is wrong with the client accounts, or an empty string.
+
+    The text names positions instead of values, since a value may be a misplaced key.
+    """
+    for index, tenant in enumerate(tenants):
+        if not _is_header_value(tenant.name):
+            return f"tenants[{index}].name must be printable Latin-1 text without outer spaces"
+        for field_name, number in (("rate_per_s", tenant.rate_per_s), ("burst", tenant.burst)):
+            if number is not None and not 0 <= number < math.inf:
+                return f"tenants[{index}].{field_name} must be a number from 0"
+    return ""
+
+
+def _is_header_value(text: str) -> bool:
+    """Return whether a text can be sent as the value of a header field."""
+    if not text or text != text.strip() or not text.isprintable():
+        return False
+    return all(ord(character) < 256 for character in text)
+
+
+def _convert_tenants(tenants: list[_Tenant]) -> AccountDirectory:
+    return build_directory((_convert_tenant(tenant), tenant.api_keys) for tenant in tenants)
+
+
+def _convert_tenant(tenant: _Tenant) -> Account:
+    burst = tenant.burst
+    if burst is None:
+        burst = max(1.0, tenant.rate_per_s) if tenant.rate_per_s else 0.0
+    return Account(tenant.name, tenant.priority, tenant.rate_per_s, burst)
+
+
 def _build_entry_failure(item: StoreObject, reason: str) -> Failure:
     return Failure.of(ErrorKind.INVALID_CONFIGURATION, f"entry {item.meta.name}: {reason}")
--- a/src/persimmonspur/platform/headers.py
+++ b/src/persimmonspur/platform/headers.py
@@ -1,5 +1,6 @@
 """Converts between the platform's HTTP messages and the project's requests and responses."""
 
+from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, Account, AccountDirectory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointResponse, Headers, ShardResult
 from persimmonspur.entry.responses import HttpResponse
@@ -18,6 +19,11 @@
 PART_STAMPS = b"X-Part-Stamps"
 MISSING_PARTS = b"X-Missing-Parts"
 RETRY_AFTER = b"Retry-After"
+# Name of the client account that sent a request.
+ACCOUNT = b"X-Tenant"
+API_KEY = b"Authorization"
+API_KEY_SCHEME = b"Token"
+CHALLENGE = b"WWW-Authenticate"
 
 # Longer numbers are not counts; Python refuses to convert very long ones.
 MAX_COUNT_DIGITS = 9
@@ -41,7 +47,10 @@
     )
 )
 _REPLACED_FIELDS = frozenset((DEADLINE_MS.lower(), EXPECTED_ENDPOINT.lower()))
+# Also dropped where the configuration has client accounts.
+_ACCOUNT_FIELDS = frozenset((API_KEY.lower(), ACCOUNT.lower()))
 
+_API_KEY_KEY = API_KEY.lower()
 _SERVER_STAMP_KEY = SERVER_STAMP.lower()
 _NOT_EXECUTED_KEY = NOT_EXECUTED.lower()
 _SERVER_LOAD_KEY = SERVER_LOAD.lower()
@@ -57,8 +66,13 @@
     return None
 
 
-def parse_client_request(request: HttpRequest) -> ClientRequest:
-    """Convert a client's request, dropping hop-by-hop and replaced header fields."""
+def parse_client_request(
+    request: HttpRequest, accounts: AccountDirectory = NO_ACCOUNTS
+) -> ClientRequest:
+    """Convert a client's request, dropping hop-by-hop and replaced header fields.
+
+    :param accounts: with client accounts, the API key is replaced by the name of its account.
+    """
     request_id = b""
     host = b""
     timeout_ms = None
@@ -78,6 +92,10 @@
         lowered = name.lower()
         if lowered not in dropped and lowered not in _REPLACED_FIELDS:
             headers.append((name, value))
+    account = None
+    if accounts.active:
+        account = _find_account(request.headers, accounts)
+        headers = _replace_account_fields(headers, account)
     return ClientRequest(
         request_id.decode("latin-1"),
         request.method,
@@ -89,9 +107,32 @@
         request.arrived_ms,
         request.round_trip_ms,
         request.round_trip_ms if request.on_new_connection else 0.0,
+        account,
     )
 
 
+def _find_account(headers: Headers, accounts: AccountDirectory) -> Account | None:
+    """Return the account of a request's API key.
+
+    A request with several keys is refused, since it is unclear whose it is.
+    """
+    credentials = [value for name, value in headers if name.lower() == _API_KEY_KEY]
+    if len(credentials) != 1:
+        return None
+    scheme, _, key = credentials[0].strip().partition(b" ")
+    if scheme.lower() != API_KEY_SCHEME.lower():
+        return None
+    return accounts.find(key.strip())
+
+
+def _replace_account_fields(headers: Headers, account: Account | None) -> Headers:
+    """Return the header fields with the name of the account instead of the API key."""
+    replaced = [field for field in headers if field[0].lower() not in _ACCOUNT_FIELDS]
+    if account is not None:
+        replaced.append((ACCOUNT, account.name.encode("latin-1")))
+    return replaced
+
+
 def format_request_head(request: ClientRequest) -> bytes:
     """Encode the part of a request that is the same for each endpoint it is sent to."""
     lines = [request.method.encode("ascii"), b" ", request.target, b" HTTP/1.1\r\n"]
@@ -172,6 +213,10 @@
         """Return the delay, in seconds, after which the client may retry."""
         return [(RETRY_AFTER, b"%.3f" % (retry_after_ms / 1000))]
 
+    def format_challenge(self) -> Headers:
+        """Return the scheme in which the client sends its API key."""
+        return [(CHALLENGE, API_KEY_SCHEME)]
+
     def format_failure(self) -> Headers:
         """Return no retry advice, since the request may have been executed."""
         return []
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.accounts import AccountDirectory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointResponse
 from persimmonspur.core.fleet.roles import Member, compute_capability
@@ -58,9 +59,9 @@
         self._latest_request: ClientRequest | None = None
         self._latest_head = b""
 
-    def parse_request(self, request: HttpRequest) -> ClientRequest:
+    def parse_request(self, request: HttpRequest, accounts: AccountDirectory) -> ClientRequest:
         """Parse a client's request."""
-        return headers.parse_client_request(request)
+        return headers.parse_client_request(request, accounts)
 
     def format_request(
         self, request: ClientRequest, endpoint: Endpoint, timeout_ms: float
--- a/tests/platform/deployments.py
+++ b/tests/platform/deployments.py
@@ -57,8 +57,8 @@
         self.store.put("servers", identity, make_entry(searcher, service))
         return searcher
 
-    def configure(self, *routes, version=1, services=()):
-        self.store.put("config", "main", make_configuration(version, routes, services))
+    def configure(self, *routes, version=1, services=(), tenants=None):
+        self.store.put("config", "main", make_configuration(version, routes, services, tenants))
 
     def start(self):
         self.instance.start()
@@ -67,13 +67,18 @@
         )
         gevent.sleep(0.1)
 
-    def send_request(self, path, method="GET", body=b"", request_id="abc", deadline_ms=1_000):
+    def send_request(
+        self, path, method="GET", body=b"", request_id="abc", deadline_ms=1_000, headers=None
+    ):
         host, _, port = self.settings.caller_address.partition(":")
         sock = gevent.socket.create_connection((host, int(port)), timeout=3)
-        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        fields = dict(headers or {})
+        if body:
+            fields["Content-Length"] = len(body)
+        extra = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         sock.sendall(
             f"{method} {path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {request_id}\r\n"
-            f"X-Deadline-Ms: {deadline_ms}\r\n{length}Connection: close\r\n\r\n".encode()
+            f"X-Deadline-Ms: {deadline_ms}\r\n{extra}Connection: close\r\n\r\n".encode()
             + body
         )
         data = b""
--- a/tests/platform/entryprocess.py
+++ b/tests/platform/entryprocess.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from pathlib import Path
 
 from platformsim import FakeStore
 
@@ -25,10 +26,11 @@
         self._tmp_path = tmp_path
         self._processes = []
 
-    def start(self, limits=None, **bounds):
+    def start(self, limits=None, log_path=os.devnull, **bounds):
         """Start a process.
 
         :param limits: limits of its machine in its settings.
+        :param log_path: file for the process's log.
         :param bounds: bounds in its settings.
         """
         self.caller_address, ready, resolve, peer = find_free_addresses(4)
@@ -52,11 +54,12 @@
             "limits": limits or {},
         }
         path.write_text(json.dumps(settings))
-        process = subprocess.Popen(
-            [sys.executable, "-m", "persimmonspur.platform"],
-            env={**os.environ, "PERSIMMONSPUR_BOOT": str(path)},
-            stdout=subprocess.DEVNULL,
-        )
+        with Path(log_path).open("wb") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "persimmonspur.platform"],
+                env={**os.environ, "PERSIMMONSPUR_BOOT": str(path)},
+                stdout=log,
+            )
         self._processes.append(process)
         return process
 
--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -310,8 +310,13 @@
         sock.close()
 
 
-def make_configuration(version=1, routes=(), services=(), **limits):
-    return {
+def make_tenant(name="acme", keys=("key-acme",), **fields):
+    return {"name": name, "api_keys": list(keys)} | fields
+
+
+def make_configuration(version=1, routes=(), services=(), tenants=None, **limits):
+    accounts = {} if tenants is None else {"tenants": list(tenants)}
+    return accounts | {
         "version": version,
         "routes": list(routes),
         "services": [
