Start in-process instances of tests on ports that no client is assigned

Cause: the tests took ephemeral ports, which an outgoing connection of another process may get before the instance binds, and sent requests after a fixed 0.1 s, when a busy machine had not read the first lists. Seen beside other test runs (load average 12): four tests of test_entry.py failed with OSError, one with 503 instead of 200. Change: ports below the ephemeral range, as the other process tests use, and a wait for the first lists. No check is changed.

--- a/tests/platform/deployments.py
+++ b/tests/platform/deployments.py
@@ -1,7 +1,6 @@
 """Entry instances in this process, with fakes of the store and the searchers."""
 
 import json
-import socket
 
 import gevent
 import gevent.socket
@@ -9,14 +8,11 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.entry.eventlog import EventLog, LineWriter
+from persimmonspur.load.processes import find_free_addresses
 from persimmonspur.platform.run import build_instance
 from persimmonspur.platform.settings import EntrySettings
 
-
-def find_free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+START_TIMEOUT_S = 3.0
 
 
 class Deployment:
@@ -35,10 +31,7 @@
             name,
             "zone-a",
             "region",
-            f"127.0.0.1:{find_free_port()}",
-            f"127.0.0.1:{find_free_port()}",
-            f"127.0.0.1:{find_free_port()}",
-            f"127.0.0.1:{find_free_port()}",
+            *find_free_addresses(4),
             self.store.address,
             6_000.0,
             0.2,
@@ -66,6 +59,18 @@
             self.settings.caller_address, self.instance.request_handler
         )
         gevent.sleep(0.1)
+        self._wait_until_initialized()
+
+    def _wait_until_initialized(self):
+        """Wait for the first lists, which take longer than usual on a busy machine."""
+        store = self.store
+        if not isinstance(store, FakeStore) or store.down or store.silent:
+            return
+        if "config" not in store.objects:
+            return
+        with gevent.Timeout(START_TIMEOUT_S, False):
+            while not self.instance.state.initialized:
+                gevent.sleep(0.01)
 
     def send_request(
         self, path, method="GET", body=b"", request_id="abc", deadline_ms=1_000, headers=None
