Decode entries of the store one by one, and let no exception end a feed

Cause: a list or a watch response was decoded at once, so one string that msgspec refuses hid all changes after it; lists nested too deep raised through the greenlet of the feed.

Change: entries and events stay undecoded until each is decoded on its own; rawjson splits what the decoder cannot skip. A feed logs an exception, pauses and lists again. Invalid entries are logged once with their key. Digits that int refuses are read by persimmonspur.digits.

--- a/src/persimmonspur/daemon/http.py
+++ b/src/persimmonspur/daemon/http.py
@@ -13,6 +13,7 @@
 from persimmonspur.daemon.filters.chain import RequestContext, run_chain
 from persimmonspur.daemon.instance import Instance
 from persimmonspur.daemon.lifecycle import Phase
+from persimmonspur.digits import parse_digits
 from persimmonspur.errors import ERROR_RESPONSES, ErrorKind, Failure
 from persimmonspur.model.configuration import KEY_SPACE_UNITS
 from persimmonspur.model.query import Query, QueryAnswer
@@ -66,7 +67,8 @@
     def _route(self, environ: dict[str, Any], start_response: StartResponse) -> list[bytes]:
         name = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
         length = environ.get("CONTENT_LENGTH") or "0"
-        if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+        length_bytes = parse_digits(length)
+        if length_bytes is None or length_bytes > MAX_BODY_BYTES:
             message = f"content-length: {length}; allowed: at most {MAX_BODY_BYTES} bytes"
             return _respond_invalid(_close_connection(start_response), message)
         if name not in ROUTES:
@@ -187,10 +189,11 @@
     """Return recorded events of this process, filtered by the query parameters."""
     query = parse_qs(environ.get("QUERY_STRING", ""))
     request_id = query.get("request_id", [""])[0]
-    after = query.get("after", ["0"])[0]
-    if not after.isdigit():
-        return _respond_invalid(start_response, f"after: {after!r}; allowed: a whole number")
-    entries = instance.timeline.list_entries(request_id, int(after))
+    after_text = query.get("after", ["0"])[0]
+    after = parse_digits(after_text)
+    if after is None:
+        return _respond_invalid(start_response, f"after: {after_text!r}; allowed: a whole number")
+    entries = instance.timeline.list_entries(request_id, after)
     return respond_json(start_response, 200, {"entries": entries})
 
 
--- a/src/persimmonspur/daemon/settings.py
+++ b/src/persimmonspur/daemon/settings.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
+from persimmonspur.digits import parse_digits
 from persimmonspur.errors import ErrorKind, Failure
 
 ENVIRONMENT_PREFIX = "PERSIMMONSPUR_"
@@ -48,7 +49,7 @@
 
 
 def _is_positive_integer(value: str) -> bool:
-    return value.isdigit() and int(value) > 0
+    return bool(parse_digits(value))
 
 
 ADDRESS_FORMAT = "ip:port, for example 127.0.0.1:7400"
--- a/src/persimmonspur/entry/addresses.py
+++ b/src/persimmonspur/entry/addresses.py
@@ -2,8 +2,9 @@
 
 import ipaddress
 
+from persimmonspur.digits import parse_digits
+
 MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
 
 
 def find_address_error(address: str) -> str:
@@ -20,7 +21,7 @@
         return f"address {address!r} is not in the form ip:port"
     if ip.is_unspecified or ip.is_multicast or ip == ipaddress.IPv4Address("255.255.255.255"):
         return f"address {address!r} does not name one host"
-    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-    if not is_number or not 0 < int(port) <= MAX_PORT:
+    number = parse_digits(port)
+    if number is None or not 0 < number <= MAX_PORT:
         return f"address {address!r} has no valid port"
     return ""
--- a/src/persimmonspur/entry/connections.py
+++ b/src/persimmonspur/entry/connections.py
@@ -5,6 +5,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.messages import TimerHandle, Timers
+from persimmonspur.digits import parse_digits
 from persimmonspur.entry.responses import HttpResponse, ResponseParser
 from persimmonspur.entry.sockets import Connector, Stream
 from persimmonspur.errors import Ran
@@ -343,6 +344,7 @@
             continue
         for item in value.split(b","):
             key, _, text = item.strip().partition(b"=")
-            if key.lower() == b"timeout" and text.strip().isdigit():
-                return float(text) * 1000
+            seconds = parse_digits(text.strip())
+            if key.lower() == b"timeout" and seconds is not None:
+                return seconds * 1000.0
     return DEFAULT_IDLE_TIMEOUT_MS
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -63,6 +63,12 @@
     "WARNING",
     "the store was restored from an older copy; era {era} begins",
 )
+FEED_FAILED = define_event(
+    6109,
+    "feed_failed",
+    "ERROR",
+    "unexpected error in the feed of {feed}, which lists again after a pause: {reason}",
+)
 CONFIGURATION_IN_EFFECT = define_event(
     6201, "configuration_in_effect", "INFO", "configuration {version} is in effect"
 )
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -27,6 +27,9 @@
 MAX_LIST_TIMEOUT_MS = 1_600.0
 BACKOFF_FIRST_MS = 150.0
 BACKOFF_MAX_MS = 1_500.0
+# Longest backoff after unexpected exceptions. Each is followed by a list, which costs more than a
+# watch.
+EXCEPTION_BACKOFF_MAX_MS = 5_000.0
 # Removals within this time after an outage may be entries that expired during the outage.
 # The same holds for entries that are missing after the store was restored from a copy.
 RECOVERY_PERIOD_MS = 2_500.0
@@ -91,6 +94,8 @@
     :ivar unanswered_restarts: restarts since the last call that was answered or failed.
     :ivar history: recent changes, for instances that follow this one.
     :ivar on_change: called after changes were applied and after a call failed.
+    :ivar on_exception: called with the feed's name and an unexpected exception, after which the
+        feed backs off and lists all objects again.
     :ivar on_store_recovered: called on the first successful call after failures, with the
         local time at which the first failed call was sent.
     """
@@ -131,6 +136,7 @@
         self._verifies_watches = verifies_watches
         self._greenlet: gevent.Greenlet[[], None] | None = None
         self._backoff_ms = 0.0
+        self._exception_backoff_ms = 0.0
         self._recovered_ms = -RECOVERY_PERIOD_MS
         self._probing = False
         self._list_timeout_ms = FIRST_LIST_TIMEOUT_MS
@@ -144,6 +150,7 @@
         self._outage_started_ms = 0.0
         self.history: ChangeHistory[T] = ChangeHistory()
         self.on_change: Callable[[], None] | None = None
+        self.on_exception: Callable[[str, Exception], None] | None = None
         self.on_store_recovered: Callable[[float], None] | None = None
         self._retry_requested = Event()
 
@@ -221,10 +228,27 @@
 
     def _follow(self) -> None:
         while True:
-            if self.position.revision:
-                self._watch_once()
-            else:
-                self._list_once()
+            try:
+                self._call_once()
+            except Exception as error:
+                self._handle_exception(error)
+
+    def _call_once(self) -> None:
+        if not self.position.revision:
+            self._list_once()
+            return
+        self._watch_once()
+        self._exception_backoff_ms = 0.0
+
+    def _handle_exception(self, error: Exception) -> None:
+        """Continue from a list after a pause, since it is unknown what was applied."""
+        self._call_started_ms = None
+        self.position = NO_POSITION
+        if self.on_exception is not None:
+            self.on_exception(self.name, error)
+        doubled_ms = max(BACKOFF_FIRST_MS, 2 * self._exception_backoff_ms)
+        self._exception_backoff_ms = min(EXCEPTION_BACKOFF_MAX_MS, doubled_ms)
+        gevent.sleep(self._exception_backoff_ms * (0.5 + self._rng.random()) / 1000)
 
     def _list_once(self) -> None:
         started_ms = self._call_started_ms = self._clock.now_ms()
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -286,6 +286,7 @@
         self.observer.record_store_call("members", listed.error if listed.is_error() else None)
         if listed.is_error():
             return False
+        self.observer.record_rejected_entries("registration", listed.ok.rejected)
         self._update_members(listed.ok.items)
         return True
 
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -1,5 +1,7 @@
 """Writes log lines and metrics for the activity of one instance."""
 
+import traceback
+from collections.abc import Iterable
 from typing import Any
 
 from attrs import frozen
@@ -14,6 +16,11 @@
 from persimmonspur.entry.metrics import EntryMetrics
 from persimmonspur.errors import Failure
 
+# The end of a traceback is what names the cause.
+MAX_TRACEBACK_CHARACTERS = 2_000
+# Invalid entries that are remembered because they were logged.
+MAX_REMEMBERED_ENTRIES = 1_000
+
 
 @frozen
 class FinishedRequest:
@@ -37,6 +44,7 @@
         self.log = log
         self.metrics = EntryMetrics()
         self._failure_counts: dict[str, int] = {}
+        self._logged_entries: dict[tuple[str, str], None] = {}
 
     def record_decision(self, name: str, **fields: Any) -> None:
         """Log a decision about one request.
@@ -84,6 +92,27 @@
             events.REQUEST_ANSWERED, notable, lambda: _describe_finished(finished)
         )
 
+    def record_rejected_entries(self, kind: str, rejected: Iterable[Failure]) -> None:
+        """Log each invalid entry of the store once, however often it is read."""
+        for failure in rejected:
+            key = (kind, failure.message)
+            if key in self._logged_entries:
+                continue
+            if len(self._logged_entries) >= MAX_REMEMBERED_ENTRIES:
+                del self._logged_entries[next(iter(self._logged_entries))]
+            self._logged_entries[key] = None
+            self.log.record(events.ENTRY_REJECTED, kind=kind, reason=failure.message)
+
+    def record_feed_exception(self, feed: str, error: Exception) -> None:
+        """Log an unexpected exception in a feed."""
+        lines = "".join(traceback.format_exception(error))
+        self.log.record(
+            events.FEED_FAILED,
+            feed=feed,
+            reason=f"{type(error).__name__}: {error}",
+            traceback=lines[-MAX_TRACEBACK_CHARACTERS:],
+        )
+
     def record_store_call(
         self, feed: str, failure: Failure | None, position: StorePosition = NO_POSITION
     ) -> None:
--- a/src/persimmonspur/entry/options.py
+++ b/src/persimmonspur/entry/options.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
+from persimmonspur.digits import parse_digits
 from persimmonspur.errors import ErrorKind, Failure
 
 # Address on which metrics are served; metrics are not served if it is unset.
@@ -33,8 +34,9 @@
     """
     errors = []
     metrics_address = environment.get(METRICS_VARIABLE, "")
-    host, _, port = metrics_address.rpartition(":")
-    if metrics_address and (not host or not port.isdigit() or not 0 < int(port) < 65_536):
+    host, _, port_text = metrics_address.rpartition(":")
+    port = parse_digits(port_text) or 0
+    if metrics_address and (not host or not 0 < port < 65_536):
         errors.append(f"{METRICS_VARIABLE}: {metrics_address!r}; allowed: ip:port")
     log_level = environment.get(LEVEL_VARIABLE, "") or LEVELS[0]
     if log_level not in LEVELS:
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -20,6 +20,7 @@
 from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.core.fleet.relays import EXCLUSION_MS, OUTAGE_EXCLUSION_MS, RelaySelector
 from persimmonspur.core.fleet.roles import Member
+from persimmonspur.digits import parse_digits
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
 from persimmonspur.entry.httpclient import HttpClient, fetch_message
 from persimmonspur.entry.server import HttpRequest, Respond, ServerResponse
@@ -198,10 +199,11 @@
 
 def _parse_position(text: str) -> StorePosition:
     """Return the position that a poll names, or ``NO_POSITION`` if it names none."""
-    era, _, revision = text.partition(".")
-    if not era.isdigit() or not revision.isdigit():
+    era_text, _, revision_text = text.partition(".")
+    era, revision = parse_digits(era_text), parse_digits(revision_text)
+    if era is None or revision is None:
         return NO_POSITION
-    return StorePosition(int(era), int(revision))
+    return StorePosition(era, revision)
 
 
 class RelayClient:
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -151,6 +151,7 @@
         )
         for feed in self.feeds:
             feed.on_store_recovered = self._handle_store_recovery
+            feed.on_exception = observer.record_feed_exception
         self._peer_fetch: gevent.Greenlet[[Member], None] | None = None
         self._lag_detectors: dict[str, LagDetector[StorePosition]] = {
             feed.name: LagDetector() for feed in self.feeds
@@ -254,21 +255,17 @@
         if self._version_lag.observe(newest.version, self.version, self._clock.now_ms()):
             self._start_peer_fetch(peer)
 
-    def _log_rejected(self, kind: str, rejected: tuple[Failure, ...]) -> None:
-        for failure in rejected:
-            self._observer.log.record(events.ENTRY_REJECTED, kind=kind, reason=failure.message)
-
     def _apply_configuration_snapshot(
         self, snapshot: Snapshot[RouteTable], after_outage: bool
     ) -> None:
-        self._log_rejected("configuration", snapshot.rejected)
+        self._observer.record_rejected_entries("configuration", snapshot.rejected)
         for table in snapshot.items.values():
             self._apply_table(table, STORE)
 
     def _apply_configuration_updates(
         self, updates: Updates[RouteTable], after_outage: bool
     ) -> None:
-        self._log_rejected("configuration", updates.rejected)
+        self._observer.record_rejected_entries("configuration", updates.rejected)
         for _, table in updates.changes:
             if table is not None:
                 self._apply_table(table, self._relay_client.source)
@@ -306,7 +303,7 @@
         announce()
 
     def _apply_endpoint_snapshot(self, snapshot: Snapshot[Endpoint], after_outage: bool) -> None:
-        self._log_rejected("endpoint", snapshot.rejected)
+        self._observer.record_rejected_entries("endpoint", snapshot.rejected)
         self.endpoints.replace_all(snapshot.items.values(), after_outage, self._clock.now_ms())
         self._observer.log.record(
             events.ENDPOINTS_LISTED,
@@ -319,7 +316,7 @@
             self._timers.call_later(MISSING_ENTRY_HOLD_MS + 1, self._expire_endpoints)
 
     def _apply_endpoint_updates(self, updates: Updates[Endpoint], after_outage: bool) -> None:
-        self._log_rejected("endpoint", updates.rejected)
+        self._observer.record_rejected_entries("endpoint", updates.rejected)
         applied = self.endpoints.apply(updates.changes, after_outage, self._clock.now_ms())
         for change in applied:
             self._log_applied(change, updates.position)
@@ -353,7 +350,7 @@
             )
 
     def _apply_evacuation_snapshot(self, snapshot: Snapshot[str], after_outage: bool) -> None:
-        self._log_rejected("evacuation", snapshot.rejected)
+        self._observer.record_rejected_entries("evacuation", snapshot.rejected)
         listed = set(snapshot.items)
         # A restored store lacks entries until the operator has written them again.
         now_ms = self._clock.now_ms()
@@ -374,7 +371,7 @@
         self._update_evacuated_domains()
 
     def _apply_evacuation_updates(self, updates: Updates[str], after_outage: bool) -> None:
-        self._log_rejected("evacuation", updates.rejected)
+        self._observer.record_rejected_entries("evacuation", updates.rejected)
         for name, value in updates.changes:
             self._missing_evacuations.pop(name, None)
             if value is None:
--- a/src/persimmonspur/platform/headers.py
+++ b/src/persimmonspur/platform/headers.py
@@ -3,6 +3,7 @@
 from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, Account, AccountDirectory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointResponse, Headers, ShardResult
+from persimmonspur.digits import parse_digits
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.entry.server import HttpRequest
 from persimmonspur.errors import Ran
@@ -25,9 +26,6 @@
 API_KEY_SCHEME = b"Token"
 CHALLENGE = b"WWW-Authenticate"
 
-# Longer numbers are not counts; Python refuses to convert very long ones.
-MAX_COUNT_DIGITS = 9
-
 STATUS_MISDIRECTED = 421
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
@@ -240,14 +238,7 @@
     items = value.split(b",")
     if len(items) < 2:
         return None
-    running, waiting = _parse_count(items[0]), _parse_count(items[1])
+    running, waiting = parse_digits(items[0].strip()), parse_digits(items[1].strip())
     if running is None or waiting is None:
         return None
     return running, waiting
-
-
-def _parse_count(value: bytes) -> int | None:
-    digits = value.strip()
-    if not digits.isdigit() or len(digits) > MAX_COUNT_DIGITS:
-        return None
-    return int(digits)
--- a/src/persimmonspur/platform/sources.py
+++ b/src/persimmonspur/platform/sources.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 
-from expression import Result
+from expression import Error, Result
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import Endpoint
@@ -25,11 +25,14 @@
     INSTANCE_KIND,
     Listing,
     PlatformStore,
+    UnreadableObject,
     WatchResult,
 )
 
 T = TypeVar("T")
 
+NAMELESS_ENTRY = "entry without a readable name"
+
 Decoder = Callable[[StoreObject], Result[T, Failure]]
 
 
@@ -56,33 +59,43 @@
 
     def _decode_listing(self, listing: Listing) -> Snapshot[T]:
         items: dict[str, T] = {}
-        rejected = _build_malformed_failures(listing.malformed_count)
+        rejected: list[Failure] = []
         for item in listing.objects:
-            decoded = self._decode(item)
+            decoded = self._decode_object(item)
             if decoded.is_error():
                 rejected.append(decoded.error)
-                continue
-            items[item.meta.name] = decoded.ok
+            elif item.meta is not None:
+                items[item.meta.name] = decoded.ok
         newest = _find_newest(listing.position, listing.objects)
-        return Snapshot(items, listing.position, newest, tuple(rejected))
+        return Snapshot(items, listing.position, newest, _merge_failures(rejected))
 
     def _decode_changes(self, changes: WatchResult) -> Updates[T]:
         updates: list[tuple[str, T | None]] = []
-        rejected = _build_malformed_failures(changes.malformed_count)
+        rejected: list[Failure] = []
         for change in changes.changes:
-            name = change.object.meta.name
-            if change.removed:
-                updates.append((name, None))
+            meta = change.object.meta
+            if change.removed and meta is not None:
+                updates.append((meta.name, None))
                 continue
-            decoded = self._decode(change.object)
+            decoded = self._decode_object(change.object)
             if decoded.is_error():
-                # An invalid entry no longer names a usable object, so it counts as removed.
                 rejected.append(decoded.error)
-                updates.append((name, None))
-                continue
-            updates.append((name, decoded.ok))
+            if meta is not None:
+                # An invalid entry no longer names a usable object, so it counts as removed.
+                updates.append((meta.name, None if decoded.is_error() else decoded.ok))
         newest = _find_newest(changes.position, (change.object for change in changes.changes))
-        return Updates(tuple(updates), changes.position, newest, tuple(rejected))
+        return Updates(tuple(updates), changes.position, newest, _merge_failures(rejected))
+
+    def _decode_object(self, item: StoreObject | UnreadableObject) -> Result[T, Failure]:
+        if isinstance(item, UnreadableObject):
+            name = item.meta.name if item.meta is not None else ""
+            return Error(_build_failure(f"entry {name}: not readable" if name else NAMELESS_ENTRY))
+        try:
+            return self._decode(item)
+        except Exception as error:
+            # Entries may be written by anyone; one that the decoder does not expect must not
+            # hide the others.
+            return Error(_build_failure(f"entry {item.meta.name}: {type(error).__name__}: {error}"))
 
 
 def open_configuration_source(store: PlatformStore) -> StoreObjectSource[RouteTable]:
@@ -107,18 +120,26 @@
     return StoreObjectSource(store, INSTANCE_KIND, decode_member)
 
 
-def _find_newest(position: StorePosition, objects: Iterable[StoreObject]) -> StorePosition:
+def _find_newest(
+    position: StorePosition, objects: Iterable[StoreObject | UnreadableObject]
+) -> StorePosition:
     """Return the position of the latest change among objects read at a position."""
-    revision = max((item.meta.revision for item in objects), default=0)
+    revisions = (item.meta.revision for item in objects if item.meta is not None)
+    revision = max(revisions, default=0)
     return StorePosition(position.era, revision) if revision else NO_POSITION
 
 
-def _build_malformed_failures(count: int) -> list[Failure]:
-    if not count:
-        return []
-    return [
-        Failure.of(ErrorKind.INVALID_CONFIGURATION, f"{count} store entries are not valid objects")
-    ]
+def _build_failure(message: str) -> Failure:
+    return Failure.of(ErrorKind.INVALID_CONFIGURATION, message)
+
+
+def _merge_failures(failures: list[Failure]) -> tuple[Failure, ...]:
+    """Replace the failures of entries without a readable name by one with their number."""
+    named = [failure for failure in failures if failure.message != NAMELESS_ENTRY]
+    nameless = len(failures) - len(named)
+    if nameless:
+        named.insert(0, _build_failure(f"{nameless} store entries are not valid objects"))
+    return tuple(named)
 
 
 def _decode_name(item: StoreObject) -> Result[str, Failure]:
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's object store."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -9,11 +9,15 @@
 from expression import Error, Ok, Result
 
 from persimmonspur.core.fleet.position import StorePosition
+from persimmonspur.digits import parse_digits
 from persimmonspur.entry.httpclient import STATUS_GONE, HttpClient
 from persimmonspur.entry.responses import HttpResponse
 from persimmonspur.errors import ErrorKind, Failure
-from persimmonspur.platform.documents import StoreObject
+from persimmonspur.platform.documents import ObjectMeta, StoreObject
 from persimmonspur.platform.headers import find_header
+from persimmonspur.platform.rawjson import split_array, split_object
+
+P = TypeVar("P")
 
 CONFIGURATION_KIND = "config"
 ENDPOINT_KIND = "servers"
@@ -28,40 +32,49 @@
 
 
 class _List(msgspec.Struct):
-    items: list[Any]
     # Revision of the store at the time of this list; a watch continues from it.
     store_revision: int
     has_more: bool = False
+    # Entries may be written by anyone, so each is decoded on its own.
+    items: list[msgspec.Raw] = []
+
+
+class _Events(msgspec.Struct):
+    store_revision: int
+    events: list[msgspec.Raw] = []
 
 
 class _Event(msgspec.Struct):
-    object: Any
+    object: msgspec.Raw
     removed: bool = False
 
 
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    store_revision: int
+@frozen
+class UnreadableObject:
+    """An object that cannot be decoded.
+
+    :param meta: its metadata; ``None`` if they cannot be decoded either.
+    """
+
+    meta: ObjectMeta | None
 
 
 @frozen
 class Listing:
-    """All objects of one kind.
+    """All objects of one kind, in the order of their names.
 
     :param position: position from which a watch continues.
-    :param malformed_count: number of entries that are not valid objects.
     """
 
-    objects: tuple[StoreObject, ...]
+    objects: tuple[StoreObject | UnreadableObject, ...]
     position: StorePosition
-    malformed_count: int = 0
 
 
 @frozen
 class Change:
     """The creation, replacement or removal of one object."""
 
-    object: StoreObject
+    object: StoreObject | UnreadableObject
     removed: bool
 
 
@@ -70,12 +83,10 @@
     """Changes that a watch reported.
 
     :param position: position from which the next watch continues.
-    :param malformed_count: number of events that do not carry a valid object.
     """
 
     changes: tuple[Change, ...]
     position: StorePosition
-    malformed_count: int = 0
 
 
 class PlatformStore:
@@ -95,8 +106,7 @@
 
         :param timeout_ms: timeout of the request for each page.
         """
-        objects: list[StoreObject] = []
-        malformed_count = 0
+        objects: list[StoreObject | UnreadableObject] = []
         after = ""
         position: StorePosition | None = None
         while True:
@@ -104,7 +114,7 @@
             response = self._request("GET", f"/-/objects/{kind}{query}", b"", timeout_ms)
             if response.is_error():
                 return Error(response.error)
-            page = _decode(response.ok.body, _List)
+            page = _decode(response.ok.body, _List, b"items")
             if page.is_error():
                 return Error(page.error)
             era = _parse_era(response.ok)
@@ -114,15 +124,15 @@
             if era != position.era:
                 reason = f"store: restored while {kind} was listed"
                 return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
-            for item in page.ok.items:
-                converted = _convert_object(item)
-                if converted is None:
-                    malformed_count += 1
-                    continue
-                objects.append(converted)
-            if not page.ok.has_more or not objects:
-                return Ok(Listing(tuple(objects), position, malformed_count))
-            after = objects[-1].meta.name
+            read = [_decode_object(bytes(item)) for item in page.ok.items]
+            objects += read
+            if not page.ok.has_more or not read:
+                return Ok(Listing(tuple(objects), position))
+            names = [item.meta.name for item in read if item.meta is not None]
+            if not names:
+                reason = f"store: no entry of a page of {kind} has a readable name"
+                return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
+            after = names[-1]
 
     def watch(
         self, kind: str, position: StorePosition, wait_ms: float
@@ -141,17 +151,11 @@
         if era != position.era:
             reason = f"store: era is {era}, revision {position.revision} is of era {position.era}"
             return Error(Failure.of(ErrorKind.CONFLICT, reason))
-        events = _decode(response.ok.body, _Events)
+        events = _decode(response.ok.body, _Events, b"events")
         if events.is_error():
             return Error(events.error)
-        changes = []
-        for event in events.ok.events:
-            converted = _convert_object(event.object)
-            if converted is not None:
-                changes.append(Change(converted, event.removed))
-        malformed_count = len(events.ok.events) - len(changes)
-        result_position = StorePosition(era, events.ok.store_revision)
-        return Ok(WatchResult(tuple(changes), result_position, malformed_count))
+        changes = tuple(_decode_event(bytes(event)) for event in events.ok.events)
+        return Ok(WatchResult(changes, StorePosition(era, events.ok.store_revision)))
 
     def put(self, kind: str, name: str, spec: Any) -> Result[None, Failure]:
         """Create an object, or replace it if it exists."""
@@ -197,21 +201,60 @@
 
 def _parse_era(response: HttpResponse) -> int:
     value = find_header(response.headers, STORE_ERA)
-    return int(value) if value is not None and value.isdigit() else 0
+    return (parse_digits(value) if value is not None else None) or 0
+
+
+def _decode_event(data: bytes) -> Change:
+    try:
+        event = msgspec.json.decode(data, type=_Event)
+        return Change(_decode_object(bytes(event.object)), event.removed)
+    except (msgspec.DecodeError, RecursionError):
+        members = split_object(data) or {}
+    return Change(_decode_object(members.get(b"object", b"")), members.get(b"removed") == b"true")
 
 
-def _convert_object(item: Any) -> StoreObject | None:
+def _decode_object(data: bytes) -> StoreObject | UnreadableObject:
     try:
-        return msgspec.convert(item, StoreObject)
-    except msgspec.ValidationError:
+        return msgspec.json.decode(data, type=StoreObject)
+    except (msgspec.DecodeError, RecursionError):
+        members = split_object(data) or {}
+    return UnreadableObject(_decode_meta(members.get(b"meta", b"")))
+
+
+def _decode_meta(data: bytes) -> ObjectMeta | None:
+    try:
+        return msgspec.json.decode(data, type=ObjectMeta)
+    except (msgspec.DecodeError, RecursionError):
+        members = split_object(data) or {}
+    try:
+        name = msgspec.json.decode(members.get(b"name", b""), type=str)
+        return ObjectMeta(name, msgspec.json.decode(members.get(b"revision", b"0"), type=int))
+    except msgspec.DecodeError:
         return None
 
 
-def _decode(data: bytes, document_type: type[Any]) -> Result[Any, Failure]:
+def _decode(data: bytes, document_type: type[P], entries_name: bytes) -> Result[P, Failure]:
+    """Decode a response whose entries stay undecoded.
+
+    :param entries_name: name of the member that holds the list of entries.
+    """
     try:
         return Ok(msgspec.json.decode(data, type=document_type))
-    except msgspec.DecodeError as error:
-        return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, f"store: invalid response: {error}"))
+    except (msgspec.DecodeError, RecursionError) as error:
+        reason = f"store: invalid response: {error}"
+    # An entry that the decoder cannot even skip spoils the whole response for it.
+    members = split_object(data) or {}
+    entries = split_array(members.pop(entries_name, b""))
+    if entries is None:
+        return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
+    rest = b",".join(b'"%b":%b' % member for member in members.items())
+    try:
+        document = msgspec.json.decode(b"{%b}" % rest, type=document_type)
+    except (msgspec.DecodeError, RecursionError) as error:
+        reason = f"store: invalid response: {error}"
+        return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
+    setattr(document, entries_name.decode(), [msgspec.Raw(entry) for entry in entries])
+    return Ok(document)
 
 
 def _discard_body(_: HttpResponse) -> None:
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -229,3 +229,77 @@
     # time of a watch, and against followers that watch the store long after a relay is known.
     source, _, _ = start_feed(Ok(Snapshot({}, at(10))), Ok(Updates((), at(11))))
     assert source.waits[0] <= feeds.PROBE_TIMEOUT_MS < source.waits[1]
+
+
+class RaisingSource(ScriptedSource):
+    """Raises the results that are exceptions."""
+
+    def _next(self):
+        result = super()._next()
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+def start_raising_feed(monkeypatch, results, on_updates=lambda updates, outage: None):
+    monkeypatch.setattr(feeds, "BACKOFF_FIRST_MS", 1.0)
+    source = RaisingSource(*results)
+    errors = []
+    feed = Feed(
+        "feed",
+        source,
+        lambda snapshot, outage: None,
+        on_updates,
+        lambda name, failure, position: None,
+        Clock(),
+        random.Random(1),
+    )
+    feed.on_exception = lambda name, error: errors.append((name, str(error)))
+    feed.start()
+    gevent.sleep(0.1)
+    feed.stop()
+    return source, feed, errors
+
+
+def test_feed_continues_after_an_exception_of_its_source(monkeypatch):
+    # Guards against a feed whose greenlet ended, so that no change is noticed any more.
+    source, feed, errors = start_raising_feed(
+        monkeypatch,
+        [
+            RecursionError("too deep"),
+            Ok(Snapshot({"a": 1}, at(10))),
+            ValueError("digits"),
+            Ok(Snapshot({"b": 1}, at(12))),
+            Ok(Updates((("c", 2),), at(13))),
+        ],
+    )
+    assert errors == [("feed", "too deep"), ("feed", "digits")]
+    assert source.calls == ["list", "list", 10, "list", 12, 13]
+    assert feed.items == {"b": 1, "c": 2}
+    assert feed.history.collect_since(at(10)).changes == (("a", None), ("b", 1), ("c", 2))
+
+
+def test_feed_lists_again_after_changes_that_could_not_be_applied(monkeypatch):
+    # Guards against a state of which only a part of the changes was applied.
+    def refuse(updates, outage):
+        raise TypeError("not applied")
+
+    source, feed, errors = start_raising_feed(
+        monkeypatch,
+        [
+            Ok(Snapshot({"a": 1}, at(10))),
+            Ok(Updates((("a", 2),), at(11))),
+            Ok(Snapshot({"a": 2}, at(11))),
+        ],
+        refuse,
+    )
+    assert errors == [("feed", "not applied")]
+    assert source.calls == ["list", 10, "list", 11]
+    assert feed.items == {"a": 2}
+
+
+def test_pause_after_exceptions_grows(monkeypatch):
+    # Guards against a list in quick succession for as long as some entry raises.
+    source, _, errors = start_raising_feed(monkeypatch, [ValueError("again")] * 100)
+    assert 3 <= len(errors) <= 10
+    assert source.calls == ["list"] * len(errors)
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -13,6 +13,7 @@
 from persimmonspur.entry.feeds import Snapshot, Updates
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.state import StoreSources, StoreState
+from persimmonspur.errors import ErrorKind, Failure
 
 IDENTITIES = [f"e{index}" for index in range(4)]
 
@@ -188,3 +189,15 @@
     assert state.endpoints.evacuated == {"d1"}
     copy.timers.advance(MISSING_ENTRY_HOLD_MS / 2)
     assert state.endpoints.evacuated == frozenset()
+
+
+def test_invalid_entry_is_logged_once():
+    # Guards against a log that repeats the same entry at each list.
+    copy = StateCopy()
+    failure = Failure.of(ErrorKind.INVALID_CONFIGURATION, "entry e9: not readable")
+    snapshot = Snapshot({}, at(2), rejected=(failure,))
+    copy.state._apply_endpoint_snapshot(snapshot, False)
+    copy.state._apply_endpoint_snapshot(snapshot, False)
+    copy.feed._apply(Updates((), at(3), rejected=(failure,)))
+    reasons = [fields["reason"] for name, fields in copy.log.records if name == "entry_rejected"]
+    assert reasons == ["entry e9: not readable"]
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -228,6 +228,24 @@
     assert deployment.instance.state.endpoints.identities() == {"i-1"}
 
 
+@pytest.mark.parametrize("spec", ["\udce9\udcff\udc00", {"service": "\ud83d", "addr": "x"}])
+def test_changes_are_noticed_beside_an_entry_that_cannot_be_decoded(deployment, spec):
+    # Guards against requests to a draining searcher until it exits, since an entry of another
+    # writer hides its report.
+    first = deployment.add_searcher("i-1", "s1")
+    second = deployment.add_searcher("i-2", "s1")
+    deployment.configure(make_route())
+    deployment.start()
+    deployment.store.put("servers", "forged", spec)
+    deployment.store.put("servers", "i-1", make_entry(first, "s1", state="draining"))
+    gevent.sleep(0.7)
+    for index in range(10):
+        assert deployment.send_request("/one/x", request_id=f"r{index}")[0] == 200
+    assert first.executed == [] and len(second.executed) == 10
+    rejected = [line for line in deployment.read_log() if line["name"] == "entry_rejected"]
+    assert [line["reason"] for line in rejected] == ["entry forged: not readable"]
+
+
 def test_instance_registers_and_returns_its_own_address(deployment):
     deployment.configure()
     deployment.start()
