Watch the store again at once after a change, with a bounded pace

Cause: a feed slept for 500 ms after each change of an entry, so an endpoint that turned cold within that time got its usual load.

Changes from a relay are followed by the next poll at once.

--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -6,6 +6,9 @@
 
 # Entries of live endpoints reappear within two seconds after an outage of the store.
 MISSING_ENTRY_HOLD_MS = 2_000.0
+# A later report of the same cold start may give an end that differs by the time that the reports
+# took.
+COLD_END_TOLERANCE_MS = 1_000.0
 
 
 @frozen
@@ -46,6 +49,25 @@
         return evolve(self, cold_until_ms=self.cold_until_ms + clock_offset_ms)
 
 
+def restricts_work(before: Endpoint | None, after: Endpoint | None) -> bool:
+    """Return whether an endpoint may get less work after a change of its entry.
+
+    :param before: ``None`` if its entry is new, so that it gets no work yet.
+    :param after: ``None`` if its entry was removed.
+    """
+    if before is None:
+        return False
+    if after is None:
+        return True
+    return (
+        (after.draining and not before.draining)
+        or after.cold_until_ms > before.cold_until_ms + COLD_END_TOLERANCE_MS
+        or after.slots < before.slots
+        or (after.born_ms, after.address) != (before.born_ms, before.address)
+        or after.service != before.service
+    )
+
+
 @frozen
 class AppliedChange:
     """What one change of an entry, or one step that followed from it, did.
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -11,6 +11,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.history import ChangeBatch, ChangeHistory
+from persimmonspur.core.fleet.pacing import WatchPacer
 from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.errors import ErrorKind, Failure
 
@@ -56,6 +57,7 @@
     :param newest: position of the latest change among them; unknown without changes.
     :param rejected: one failure for each invalid entry.
     :param recovering: whether the relay that sent them recently lost the store.
+    :param relayed: whether a relay sent them, which paces its own calls of the store.
     """
 
     changes: tuple[tuple[str, T | None], ...]
@@ -63,6 +65,7 @@
     newest: StorePosition = NO_POSITION
     rejected: tuple[Failure, ...] = ()
     recovering: bool = False
+    relayed: bool = False
 
 
 class Source(Protocol[T]):
@@ -111,6 +114,7 @@
         rng: random.Random,
         batch_delay_ms: float = 0.0,
         verifies_watches: Callable[[], bool] = lambda: False,
+        is_urgent: Callable[[T | None, T | None], bool] | None = None,
     ) -> None:
         """Create a feed that is not running.
 
@@ -121,9 +125,12 @@
         :param on_store_call: called after each store call with the feed's name, the
             failure, if any, and the position from which the feed continued.
         :param batch_delay_ms: delay before the next watch after changes, so that a burst
-            of changes needs few calls.
+            of changes needs few calls; with ``is_urgent``, only during the start.
         :param verifies_watches: returns whether the watch after changes is short at first, to
             notice a store that went silent right after a change. It costs one call more.
+        :param is_urgent: returns whether a change from one state of an object to another must
+            take effect at once; ``None`` stands for a missing object. A feed with urgent
+            changes watches again at once, as often as :class:`WatchPacer` allows.
         """
         self.name = name
         self._source = source
@@ -133,6 +140,8 @@
         self._clock = clock
         self._rng = rng
         self._batch_delay_ms = batch_delay_ms
+        self._is_urgent = is_urgent
+        self._pacer = WatchPacer(batch_delay_ms)
         self._verifies_watches = verifies_watches
         self._greenlet: gevent.Greenlet[[], None] | None = None
         self._backoff_ms = 0.0
@@ -260,6 +269,7 @@
             return
         self._record_success()
         self._probing = True
+        self._pacer.start(self._clock.now_ms())
         snapshot = listed.ok
         recovering = self._is_recovering()
         self._copied_position = NO_POSITION
@@ -297,9 +307,22 @@
             return
         self._record_success()
         self._probing = bool(watched.ok.changes) and self._verifies_watches()
+        delay_ms = self._compute_delay_ms(watched.ok)
         self._apply(watched.ok)
-        if watched.ok.changes and self._batch_delay_ms:
-            gevent.sleep(self._batch_delay_ms / 1000)
+        if delay_ms:
+            gevent.sleep(delay_ms / 1000)
+
+    def _compute_delay_ms(self, updates: Updates[T]) -> float:
+        """Return the pause after changes that are not applied yet."""
+        if not updates.changes:
+            return 0.0
+        is_urgent = self._is_urgent
+        if is_urgent is None:
+            return self._batch_delay_ms
+        if updates.relayed:
+            return 0.0
+        urgent = any(is_urgent(self.items.get(name), value) for name, value in updates.changes)
+        return self._pacer.compute_delay_ms(urgent, self._clock.now_ms())
 
     def _apply(self, updates: Updates[T]) -> None:
         recovering = updates.recovering or self._is_recovering()
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -354,7 +354,11 @@
         for name, value in message.changes:
             changes.append((name, self._unpack_value(value, clock_offset_ms)))
         return Updates(
-            tuple(changes), message.position, message.newest, recovering=message.recovering
+            tuple(changes),
+            message.position,
+            message.newest,
+            recovering=message.recovering,
+            relayed=True,
         )
 
     def _unpack_value(self, value: W | None, clock_offset_ms: float) -> T | None:
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -15,6 +15,7 @@
     AppliedChange,
     Endpoint,
     EndpointDirectory,
+    restricts_work,
 )
 from persimmonspur.core.fleet.lag import LagDetector
 from persimmonspur.core.fleet.messages import Timers
@@ -42,9 +43,10 @@
 )
 from persimmonspur.errors import Failure
 
-# Changes come in bursts and every watch is a billed store call at every instance, so a feed
-# waits this long after a change. The delays are short compared with the time limits for
-# draining endpoints and for applying configurations.
+# Changes come in bursts and every watch is a billed store call, so a feed waits this long after
+# a change. The delay for configurations is short compared with the time limit for applying them;
+# that for endpoints holds only during the start, since a cold endpoint's limit counts by the
+# second.
 ENDPOINT_BATCH_DELAY_MS = 500.0
 CONFIGURATION_BATCH_DELAY_MS = 200.0
 # Names of the feeds in logs, metrics and requests between instances.
@@ -128,6 +130,7 @@
             rng,
             ENDPOINT_BATCH_DELAY_MS,
             verifies_watches,
+            restricts_work,
         )
         self.store_recovered = Event()
         self.on_initialized: Callable[[], None] | None = None
--- a/tests/core/fleet/test_endpoints.py
+++ b/tests/core/fleet/test_endpoints.py
@@ -1,6 +1,13 @@
+import pytest
 from attrs import evolve
 
-from persimmonspur.core.fleet.endpoints import MISSING_ENTRY_HOLD_MS, Endpoint, EndpointDirectory
+from persimmonspur.core.fleet.endpoints import (
+    COLD_END_TOLERANCE_MS,
+    MISSING_ENTRY_HOLD_MS,
+    Endpoint,
+    EndpointDirectory,
+    restricts_work,
+)
 
 
 def make_endpoint(identity="e1", service="s", domain="d1", **fields):
@@ -87,3 +94,32 @@
     directory.put(evolve(make_endpoint(), service="t"))
     assert directory.usable("s") == ()
     assert len(directory.usable("t")) == 1
+
+
+@pytest.mark.parametrize(
+    ("change", "restricts"),
+    [
+        ({}, False),
+        ({"sequence": 5.0}, False),
+        ({"draining": True}, True),
+        ({"cold_until_ms": 3_000.0}, True),
+        ({"slots": 2}, True),
+        ({"slots": 8}, False),
+        ({"born_ms": 7}, True),
+        ({"address": "10.0.0.2:80"}, True),
+        ({"service": "t"}, True),
+    ],
+)
+def test_change_that_restricts_work_is_told_from_others(change, restricts):
+    # Guards against a restriction that waits with harmless changes.
+    assert restricts_work(make_endpoint(), evolve(make_endpoint(), **change)) is restricts
+
+
+def test_removal_restricts_work_and_a_new_entry_or_the_end_of_a_state_does_not():
+    assert restricts_work(make_endpoint(), None)
+    assert not restricts_work(None, make_endpoint(cold_until_ms=3_000.0, draining=True))
+    assert not restricts_work(None, None)
+    assert not restricts_work(make_endpoint(draining=True), make_endpoint())
+    cold = make_endpoint(cold_until_ms=3_000.0)
+    assert not restricts_work(cold, make_endpoint())
+    assert not restricts_work(cold, make_endpoint(cold_until_ms=3_000.0 + COLD_END_TOLERANCE_MS))
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -303,3 +303,33 @@
     source, _, errors = start_raising_feed(monkeypatch, [ValueError("again")] * 100)
     assert 3 <= len(errors) <= 10
     assert source.calls == ["list"] * len(errors)
+
+
+def list_urgent_calls(start_feed, *updates):
+    """Return the calls within 50 ms of a feed for which a removed object is urgent."""
+    source, _, _ = start_feed(
+        Ok(Snapshot({"a": 1, "b": 1}, at(10))),
+        *(Ok(update) for update in updates),
+        batch_delay_ms=60_000.0,
+        is_urgent=lambda before, after: before is not None and after is None,
+    )
+    return source.calls
+
+
+def test_watch_after_an_urgent_change_is_sent_at_once(start_feed):
+    # Guards against a second urgent change that waits for the pause after the first.
+    calls = list_urgent_calls(
+        start_feed, Updates((("a", None),), at(11)), Updates((("b", None),), at(12))
+    )
+    assert calls == ["list", 10, 11, 12]
+
+
+def test_changes_that_can_wait_are_batched_at_the_start(start_feed):
+    calls = list_urgent_calls(start_feed, Updates((("c", 1),), at(11)), Updates((), at(12)))
+    assert calls == ["list", 10]
+
+
+def test_changes_from_a_relay_are_followed_by_a_poll_at_once(start_feed):
+    # Guards against a pause at each instance in the chain from the store.
+    calls = list_urgent_calls(start_feed, Updates((("c", 1),), at(11), relayed=True))
+    assert calls == ["list", 10, 11]
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -114,6 +114,20 @@
     assert first.executed == [] and len(second.executed) == 10
 
 
+def test_searchers_that_turn_cold_shortly_after_each_other_are_all_noticed(deployment):
+    # Guards against a cold searcher that gets its usual load while the change of another one
+    # delays the next watch.
+    searchers = [deployment.add_searcher(f"i-{index}", "s1") for index in range(4)]
+    deployment.configure(make_route())
+    deployment.start()
+    clock, endpoints = deployment.instance.clock, deployment.instance.state.endpoints
+    for index, searcher in enumerate(searchers):
+        entry = make_entry(searcher, "s1", cold_left_ms=3_000, seq=2)
+        deployment.store.put("servers", f"i-{index}", entry)
+        gevent.sleep(0.1)
+        assert endpoints.get(f"i-{index}").cold_until_ms > clock.now_ms()
+
+
 def test_evacuated_zone_gets_no_requests_until_the_evacuation_ends(deployment):
     searcher = deployment.add_searcher("i-1", "s1")
     deployment.configure(make_route())
