Keep connections and all learned state by process of an endpoint

Cause: EndpointSender kept pools by identity, and a pool keeps its address, so an endpoint that started again under its id at another address was lost. Limits that endpoints name carried over.

Change: Endpoint.lifetime (identity, address, born) is the key of pools, of the selector, of cold start limits, of named limits and of the digests in crash reports. It is a type of its own.

--- a/src/persimmonspur/core/fleet/admission.py
+++ b/src/persimmonspur/core/fleet/admission.py
@@ -60,10 +60,10 @@
             endpoint, self._expected_ms, self._max_wait_ms, now_ms
         ):
             return False
-        if not context.rate_limit.allows(endpoint.identity, now_ms):
+        if not context.rate_limit.allows(endpoint.lifetime, now_ms):
             return False
         if endpoint.cold_until_ms <= now_ms:
             return True
         limits = self._table.services.get(endpoint.service)
         rate_per_s = limits.cold_per_s if limits is not None else 0.0
-        return context.cold_start_limit.try_acquire(endpoint.identity, rate_per_s, now_ms)
+        return context.cold_start_limit.try_acquire(endpoint.lifetime, rate_per_s, now_ms)
--- a/src/persimmonspur/core/fleet/budget.py
+++ b/src/persimmonspur/core/fleet/budget.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from persimmonspur.core.fleet.endpoints import Lifetime
 from persimmonspur.core.rendezvous import rank_candidates
 
 BUCKET_WIDTH_MS = 500.0
@@ -117,7 +118,7 @@
     def __init__(self, instance: str) -> None:
         self._instance = instance
         self._participants: tuple[str, ...] = (instance,)
-        self._next_allowed_ms: dict[str, float] = {}
+        self._next_allowed_ms: dict[Lifetime, float] = {}
 
     def set_participants(self, participants: tuple[str, ...]) -> None:
         """Set the names of the instances among which each limit is divided."""
@@ -125,7 +126,7 @@
             participants if self._instance in participants else (*participants, self._instance)
         )
 
-    def try_acquire(self, identity: str, rate_per_s: float, now_ms: float) -> bool:
+    def try_acquire(self, lifetime: Lifetime, rate_per_s: float, now_ms: float) -> bool:
         """Return whether a request may be sent now, and count it if so.
 
         :param rate_per_s: requests per second that the cold endpoint can handle; 0 is unlimited.
@@ -134,20 +135,20 @@
             return True
         share_per_s = rate_per_s / len(self._participants)
         if share_per_s < 1:
-            ranked = rank_candidates(dict.fromkeys(self._participants, 1.0), identity)
+            ranked = rank_candidates(dict.fromkeys(self._participants, 1.0), lifetime)
             if ranked.index(self._instance) >= int(rate_per_s):
                 return False
             share_per_s = 1.0
-        if now_ms < self._next_allowed_ms.get(identity, 0.0):
+        if now_ms < self._next_allowed_ms.get(lifetime, 0.0):
             return False
-        self._next_allowed_ms[identity] = now_ms + 1_000.0 / share_per_s
+        self._next_allowed_ms[lifetime] = now_ms + 1_000.0 / share_per_s
         return True
 
-    def retain(self, identities: frozenset[str]) -> None:
-        """Drop the state of endpoints that no longer exist.
+    def retain(self, lifetimes: frozenset[Lifetime]) -> None:
+        """Drop the state of endpoint processes that no longer exist.
 
-        :param identities: the endpoints that exist.
+        :param lifetimes: the processes that exist.
         """
-        for identity in list(self._next_allowed_ms):
-            if identity not in identities:
-                del self._next_allowed_ms[identity]
+        for lifetime in list(self._next_allowed_ms):
+            if lifetime not in lifetimes:
+                del self._next_allowed_ms[lifetime]
--- a/src/persimmonspur/core/fleet/context.py
+++ b/src/persimmonspur/core/fleet/context.py
@@ -48,11 +48,11 @@
     selector: ReplicaSelector, attempt: Attempt, failure: SendFailure, now_ms: float
 ) -> None:
     """Update the state of an endpoint from a failed send."""
-    identity = attempt.endpoint.identity
+    lifetime = attempt.endpoint.lifetime
     if failure.ran is Ran.NO:
-        selector.record_unreachable(identity, attempt.number, now_ms)
+        selector.record_unreachable(lifetime, attempt.number, now_ms)
     else:
-        selector.record_connection_lost(identity, attempt.number, now_ms)
+        selector.record_connection_lost(lifetime, attempt.number, now_ms)
 
 
 def record_endpoint_response(
@@ -68,22 +68,22 @@
     :param estimator: latency estimator for the route of the request.
     :param expected_ms: typical latency when the request was sent.
     """
-    identity = attempt.endpoint.identity
+    lifetime = attempt.endpoint.lifetime
     selector = context.selector
     if response.load is not None:
-        selector.record_load(identity, response.load[0], response.load[1], now_ms)
+        selector.record_load(lifetime, response.load[0], response.load[1], now_ms)
     if response.misdirected:
-        selector.record_unreachable(identity, attempt.number, now_ms)
+        selector.record_unreachable(lifetime, attempt.number, now_ms)
         return
     sent_ms = attempt.record.sent_ms
     context.rate_limit.record_response(
-        identity, response.rate_limit_per_s, response.ran, sent_ms, now_ms
+        lifetime, response.rate_limit_per_s, response.ran, sent_ms, now_ms
     )
     if response.ran is Ran.NO:
-        selector.record_rejected(identity, attempt.number, now_ms)
+        selector.record_rejected(lifetime, attempt.number, now_ms)
         return
     failed = response.status >= 500
-    selector.record_response(identity, attempt.number, expected_ms, failed, now_ms)
+    selector.record_response(lifetime, attempt.number, expected_ms, failed, now_ms)
     if failed:
         return
     took_ms = now_ms - sent_ms
--- a/src/persimmonspur/core/fleet/endpoints.py
+++ b/src/persimmonspur/core/fleet/endpoints.py
@@ -1,6 +1,8 @@
 """Known endpoints, as reported by the store and by the endpoints themselves."""
 
 from collections.abc import Iterable
+from functools import cached_property
+from typing import NewType
 
 from attrs import evolve, frozen
 
@@ -11,12 +13,21 @@
 COLD_END_TOLERANCE_MS = 1_000.0
 
 
+# Identifies one process of an endpoint: its identity, address and start time.
+Lifetime = NewType("Lifetime", str)
+
+
+def get_identity(lifetime: Lifetime) -> str:
+    """Return the identity of the endpoint that a lifetime belongs to."""
+    return lifetime.rsplit(" ", 2)[0]
+
+
 @frozen
 class Endpoint:
     """One endpoint.
 
-    :param identity: identifies one lifetime of the endpoint; requests carry it so that
-        another endpoint at the same address does not run them.
+    :param identity: names the endpoint; requests carry it so that another endpoint at the same
+        address does not run them. An endpoint may start again under its identity.
     :param address: ``ip:port``.
     :param slots: number of requests that it runs concurrently.
     :param draining: whether it announced its shutdown.
@@ -37,6 +48,19 @@
     sequence: float = 0.0
     version: str = ""
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """Identifies this process of the endpoint.
+
+        What was learned about a process, and its connections, does not apply to another one.
+        """
+        return self._lifetime
+
+    # The underscore keeps the cached value out of messages between instances.
+    @cached_property
+    def _lifetime(self) -> Lifetime:
+        return Lifetime(f"{self.identity} {self.address} {self.born_ms}")
+
     def is_older_than(self, other: "Endpoint") -> bool:
         """Return whether the other is a later report, or of a later lifetime."""
         return (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
@@ -63,7 +87,7 @@
         (after.draining and not before.draining)
         or after.cold_until_ms > before.cold_until_ms + COLD_END_TOLERANCE_MS
         or after.slots < before.slots
-        or (after.born_ms, after.address) != (before.born_ms, before.address)
+        or after.lifetime != before.lifetime
         or after.service != before.service
     )
 
@@ -128,9 +152,9 @@
             counts["cold"] += endpoint.cold_until_ms > now_ms
         return counts
 
-    def identities(self) -> frozenset[str]:
-        """Return the identities of all known endpoints."""
-        return frozenset(self._by_identity)
+    def lifetimes(self) -> frozenset[Lifetime]:
+        """Return the lifetimes of all known endpoints."""
+        return frozenset(endpoint.lifetime for endpoint in self._by_identity.values())
 
     def replace_all(self, endpoints: Iterable[Endpoint], after_outage: bool, now_ms: float) -> None:
         """Replace all endpoints by a complete list.
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -201,14 +201,14 @@
         shard.send_count += 1
         self._guard.record_sent(number)
         self._attempts.append(record)
-        self._context.selector.record_sent(endpoint.identity, number, now_ms)
-        self._context.rate_limit.record_sent(endpoint.identity, now_ms)
+        self._context.selector.record_sent(endpoint.lifetime, number, now_ms)
+        self._context.rate_limit.record_sent(endpoint.lifetime, now_ms)
         return True
 
     def _record_attempt(
         self, endpoint: Endpoint, kind: AttemptKind, now_ms: float
     ) -> AttemptRecord:
-        state = self._context.selector.get_state(endpoint.identity)
+        state = self._context.selector.get_state(endpoint.lifetime)
         self._context.count_send(kind.value)
         return AttemptRecord(
             endpoint.identity,
@@ -537,7 +537,7 @@
         for shard in self._shards:
             for attempt in shard.running.values():
                 self._context.selector.record_cancelled(
-                    attempt.endpoint.identity, attempt.number, self._expected_ms, now_ms
+                    attempt.endpoint.lifetime, attempt.number, self._expected_ms, now_ms
                 )
                 attempt.send.cancel()
             shard.running.clear()
--- a/src/persimmonspur/core/fleet/fingerprint.py
+++ b/src/persimmonspur/core/fleet/fingerprint.py
@@ -24,5 +24,5 @@
 
 def compute_lifetime_digest(endpoint: Endpoint) -> str:
     """Return a digest that differs between endpoints and between their restarts."""
-    lifetime = f"{endpoint.identity}/{endpoint.born_ms}".encode()
+    lifetime = endpoint.lifetime.encode()
     return hashlib.blake2b(lifetime, digest_size=LIFETIME_DIGEST_BYTES).hexdigest()
--- a/src/persimmonspur/core/fleet/ratelimit.py
+++ b/src/persimmonspur/core/fleet/ratelimit.py
@@ -8,6 +8,7 @@
 
 from attrs import define
 
+from persimmonspur.core.fleet.endpoints import Lifetime, get_identity
 from persimmonspur.errors import Ran
 
 # An endpoint is asked at least this often by all instances together: only its responses show
@@ -47,12 +48,12 @@
             names one, and with ``None`` when the limit ends.
         """
         self._on_change = on_change
-        self._states: dict[str, _LimitState] = {}
+        self._states: dict[Lifetime, _LimitState] = {}
         self.sharing_instances = 1
 
     def record_response(
         self,
-        identity: str,
+        lifetime: Lifetime,
         rate_per_s: float | None,
         ran: Ran,
         sent_ms: float,
@@ -68,29 +69,29 @@
             ``None`` if the response names no limit.
         :param sent_ms: local time at which the request of the response was sent.
         """
-        state = self._states.get(identity)
+        state = self._states.get(lifetime)
         if rate_per_s is None:
             if state is not None and ran is not Ran.NO and sent_ms >= state.named_ms:
-                del self._states[identity]
-                self._on_change(identity, None)
+                del self._states[lifetime]
+                self._on_change(get_identity(lifetime), None)
             return
         if state is not None:
             state.rate_per_s = rate_per_s
             return
-        self._states[identity] = _LimitState(rate_per_s, now_ms, now_ms)
-        self._on_change(identity, rate_per_s)
+        self._states[lifetime] = _LimitState(rate_per_s, now_ms, now_ms)
+        self._on_change(get_identity(lifetime), rate_per_s)
 
-    def allows(self, identity: str, now_ms: float) -> bool:
+    def allows(self, lifetime: Lifetime, now_ms: float) -> bool:
         """Return whether this instance may send a request to an endpoint now."""
-        state = self._states.get(identity)
+        state = self._states.get(lifetime)
         if state is None:
             return True
         share_per_s = max(state.rate_per_s, MIN_RATE_PER_S) / self.sharing_instances
         return now_ms - state.last_sent_ms >= 1_000.0 / share_per_s
 
-    def record_sent(self, identity: str, now_ms: float) -> None:
+    def record_sent(self, lifetime: Lifetime, now_ms: float) -> None:
         """Count a request to an endpoint."""
-        state = self._states.get(identity)
+        state = self._states.get(lifetime)
         if state is not None:
             state.last_sent_ms = now_ms
 
@@ -98,11 +99,11 @@
         """Return the number of endpoints that name a limit."""
         return len(self._states)
 
-    def retain(self, identities: frozenset[str]) -> None:
-        """Drop the limits of endpoints that no longer exist.
+    def retain(self, lifetimes: frozenset[Lifetime]) -> None:
+        """Drop the limits of endpoint processes that no longer exist.
 
-        :param identities: the endpoints that exist.
+        :param lifetimes: the processes that exist.
         """
-        for identity in list(self._states):
-            if identity not in identities:
-                del self._states[identity]
+        for lifetime in list(self._states):
+            if lifetime not in lifetimes:
+                del self._states[lifetime]
--- a/src/persimmonspur/core/fleet/selection.py
+++ b/src/persimmonspur/core/fleet/selection.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field
 
-from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.endpoints import Endpoint, Lifetime, get_identity
 
 LATENCY_SAMPLE_WEIGHT = 0.25
 # Time constant with which the estimated latency of an unused replica returns to normal.
@@ -40,10 +40,9 @@
 
 @define(eq=False)
 class ReplicaState:
-    """Observations of one endpoint by this instance.
+    """Observations of one process of an endpoint by this instance.
 
     :param outstanding: send times of unanswered requests by attempt, oldest first.
-    :param born_ms: start time of the endpoint process that was observed.
     :param latency_factor: latency relative to the typical one of the service.
     :param other_instances_load: requests of other instances at the endpoint, when it last
         reported its load.
@@ -51,7 +50,6 @@
     """
 
     outstanding: dict[int, float] = field(factory=dict)
-    born_ms: int = 0
     latency_factor: float = 1.0
     factor_updated_ms: float = 0.0
     other_instances_load: float = 0.0
@@ -85,14 +83,14 @@
         self._on_suspicion_change = on_suspicion_change
         self._failure_domain = failure_domain
         self._rng = rng
-        self._states: dict[str, ReplicaState] = {}
+        self._states: dict[Lifetime, ReplicaState] = {}
         self.sharing_instances = 1
 
-    def get_state(self, identity: str) -> ReplicaState:
+    def get_state(self, lifetime: Lifetime) -> ReplicaState:
         """Return the state of an endpoint, a new one if there is none."""
-        state = self._states.get(identity)
+        state = self._states.get(lifetime)
         if state is None:
-            state = self._states[identity] = ReplicaState()
+            state = self._states[lifetime] = ReplicaState()
         return state
 
     def pick(
@@ -113,7 +111,7 @@
         return best
 
     def _score(self, endpoint: Endpoint, expected_ms: float, now_ms: float) -> float:
-        state = self._get_current_state(endpoint)
+        state = self.get_state(endpoint.lifetime)
         if now_ms < state.blocked_until_ms:
             return math.inf
         factor = _decay_latency_factor(state, now_ms)
@@ -133,19 +131,6 @@
             score *= REMOTE_DOMAIN_FACTOR
         return score * (1.0 + SCORE_JITTER * self._rng.random())
 
-    def _get_current_state(self, endpoint: Endpoint) -> ReplicaState:
-        """Return the state of an endpoint, reset if the endpoint was restarted."""
-        state = self.get_state(endpoint.identity)
-        if state.born_ms == endpoint.born_ms:
-            return state
-        if state.born_ms:
-            if state.suspected:
-                self._on_suspicion_change(endpoint.identity, "")
-            state = ReplicaState(state.outstanding)
-            self._states[endpoint.identity] = state
-        state.born_ms = endpoint.born_ms
-        return state
-
     def has_capacity(
         self, endpoint: Endpoint, expected_ms: float, wait_ms: float, now_ms: float
     ) -> bool:
@@ -159,7 +144,7 @@
         """
         slots = max(1, endpoint.slots)
         limit = slots * (1.0 + wait_ms / expected_ms)
-        return self._estimate_load(self.get_state(endpoint.identity), now_ms) < limit
+        return self._estimate_load(self.get_state(endpoint.lifetime), now_ms) < limit
 
     def _estimate_load(self, state: ReplicaState, now_ms: float) -> float:
         own_load = float(len(state.outstanding))
@@ -171,38 +156,38 @@
             (state.load_reported_ms - now_ms) / LOAD_REPORT_DECAY_MS
         )
 
-    def record_sent(self, identity: str, attempt: int, now_ms: float) -> None:
+    def record_sent(self, lifetime: Lifetime, attempt: int, now_ms: float) -> None:
         """Record a request as unanswered."""
-        self.get_state(identity).outstanding[attempt] = now_ms
+        self.get_state(lifetime).outstanding[attempt] = now_ms
 
     def record_response(
-        self, identity: str, attempt: int, expected_ms: float, failed: bool, now_ms: float
+        self, lifetime: Lifetime, attempt: int, expected_ms: float, failed: bool, now_ms: float
     ) -> None:
         """Update the latency and error rate from a response.
 
         :param failed: whether the response is an error of the endpoint.
         """
-        state = self.get_state(identity)
+        state = self.get_state(lifetime)
         sent_ms = state.outstanding.pop(attempt, now_ms)
         state.consecutive_failures = 0
         state.blocked_until_ms = 0.0
-        self._update_error_rate(identity, failed, now_ms)
+        self._update_error_rate(lifetime, failed, now_ms)
         if not failed:
             self._update_latency_factor(state, (now_ms - sent_ms) / expected_ms, now_ms)
 
-    def record_connection_lost(self, identity: str, attempt: int, now_ms: float) -> None:
+    def record_connection_lost(self, lifetime: Lifetime, attempt: int, now_ms: float) -> None:
         """Record a connection that was lost after the request was sent.
 
         The endpoint may fail only for some requests, so others are preferred to it but
         it is not blocked.
         """
-        state = self.get_state(identity)
+        state = self.get_state(lifetime)
         state.outstanding.pop(attempt, None)
-        self._update_error_rate(identity, True, now_ms)
+        self._update_error_rate(lifetime, True, now_ms)
 
-    def record_unreachable(self, identity: str, attempt: int, now_ms: float) -> None:
+    def record_unreachable(self, lifetime: Lifetime, attempt: int, now_ms: float) -> None:
         """Record a refused connection, or one to another endpoint, and block the endpoint."""
-        state = self.get_state(identity)
+        state = self.get_state(lifetime)
         state.outstanding.pop(attempt, None)
         state.consecutive_failures += 1
         backoff_ms = min(
@@ -210,39 +195,42 @@
             UNREACHABLE_BACKOFF_MS * 2 ** (state.consecutive_failures - 1),
         )
         state.blocked_until_ms = now_ms + backoff_ms * (0.75 + 0.5 * self._rng.random())
-        self._mark_suspected(identity, "unreachable")
+        self._mark_suspected(lifetime, "unreachable")
 
-    def record_rejected(self, identity: str, attempt: int, now_ms: float) -> None:
+    def record_rejected(self, lifetime: Lifetime, attempt: int, now_ms: float) -> None:
         """Record a response that says that the request did not run: the endpoint is full."""
-        state = self.get_state(identity)
+        state = self.get_state(lifetime)
         state.outstanding.pop(attempt, None)
-        self._update_error_rate(identity, True, now_ms)
+        self._update_error_rate(lifetime, True, now_ms)
 
     def record_cancelled(
-        self, identity: str, attempt: int, expected_ms: float, now_ms: float
+        self, lifetime: Lifetime, attempt: int, expected_ms: float, now_ms: float
     ) -> None:
         """Remove an unanswered request; its age is a lower bound of the latency."""
-        state = self.get_state(identity)
+        state = self.get_state(lifetime)
         sent_ms = state.outstanding.pop(attempt, now_ms)
         ratio = (now_ms - sent_ms) / expected_ms
         if ratio > OVERDUE_RATIO * state.latency_factor:
             self._update_latency_factor(state, ratio, now_ms)
 
-    def record_load(self, identity: str, running: int, waiting: int, now_ms: float) -> None:
+    def record_load(self, lifetime: Lifetime, running: int, waiting: int, now_ms: float) -> None:
         """Record the load that an endpoint reports with a response."""
-        state = self.get_state(identity)
+        state = self.get_state(lifetime)
         state.other_instances_load = max(0.0, running + waiting - 1.0 - len(state.outstanding))
         state.load_reported_ms = now_ms
         state.reports_load = True
 
-    def retain(self, identities: frozenset[str]) -> None:
-        """Drop the state of endpoints that no longer exist.
+    def retain(self, lifetimes: frozenset[Lifetime]) -> None:
+        """Drop the state of endpoint processes that no longer exist.
 
-        :param identities: the endpoints that exist.
+        :param lifetimes: the processes that exist.
         """
-        for identity in list(self._states):
-            if identity not in identities and not self._states[identity].outstanding:
-                del self._states[identity]
+        for lifetime, state in list(self._states.items()):
+            if lifetime in lifetimes or state.outstanding:
+                continue
+            del self._states[lifetime]
+            if state.suspected:
+                self._on_suspicion_change(get_identity(lifetime), "")
 
     def count_suspected(self) -> int:
         """Return the number of suspected endpoints."""
@@ -252,24 +240,24 @@
         """Return the number of unanswered requests."""
         return sum(len(state.outstanding) for state in self._states.values())
 
-    def _mark_suspected(self, identity: str, reason: str) -> None:
-        state = self.get_state(identity)
+    def _mark_suspected(self, lifetime: Lifetime, reason: str) -> None:
+        state = self.get_state(lifetime)
         if not state.suspected:
             state.suspected = True
-            self._on_suspicion_change(identity, reason)
+            self._on_suspicion_change(get_identity(lifetime), reason)
 
-    def _update_error_rate(self, identity: str, failed: bool, now_ms: float) -> None:
-        state = self.get_state(identity)
+    def _update_error_rate(self, lifetime: Lifetime, failed: bool, now_ms: float) -> None:
+        state = self.get_state(lifetime)
         if not (failed or state.error_rate or state.suspected):
             return
         rate = _decay_error_rate(state, now_ms)
         state.error_rate = rate + ERROR_SAMPLE_WEIGHT * (float(failed) - rate)
         state.error_rate_updated_ms = now_ms
         if failed and state.error_rate >= SUSPECT_ERROR_RATE:
-            self._mark_suspected(identity, f"error rate {state.error_rate:.2f}")
+            self._mark_suspected(lifetime, f"error rate {state.error_rate:.2f}")
         elif not failed and state.suspected and state.error_rate < TRUST_ERROR_RATE:
             state.suspected = False
-            self._on_suspicion_change(identity, "")
+            self._on_suspicion_change(get_identity(lifetime), "")
 
     def _update_latency_factor(self, state: ReplicaState, ratio: float, now_ms: float) -> None:
         ratio = min(ratio, MAX_LATENCY_SAMPLE)
--- a/src/persimmonspur/entry/sender.py
+++ b/src/persimmonspur/entry/sender.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from persimmonspur.clock import Clock
-from persimmonspur.core.fleet.endpoints import Endpoint
+from persimmonspur.core.fleet.endpoints import Endpoint, Lifetime
 from persimmonspur.core.fleet.messages import (
     ClientRequest,
     EndpointResponse,
@@ -63,7 +63,7 @@
         self._get_max_connections = get_max_connections
         self._clock = clock
         self._timers = timers
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools: dict[Lifetime, ConnectionPool] = {}
         self.sharing_instances = 1
 
     def send(
@@ -77,12 +77,12 @@
 
         :returns: ``None`` if all connections that this instance may open are in use.
         """
-        pool = self._pools.get(endpoint.identity)
+        pool = self._pools.get(endpoint.lifetime)
         if pool is None:
             pool = ConnectionPool(
                 endpoint.address, 0, self._clock, self._timers, MAX_ENDPOINT_RESPONSE_BYTES
             )
-            self._pools[endpoint.identity] = pool
+            self._pools[endpoint.lifetime] = pool
         limit = (
             self._get_max_connections(endpoint.service)
             * USED_CONNECTION_FRACTION
@@ -115,17 +115,17 @@
         except Exception as error:
             return SendFailure(Ran.UNKNOWN, f"unreadable response: {error!r}")
 
-    def retain(self, identities: frozenset[str]) -> None:
-        """Close idle connections to endpoints that no longer exist.
+    def retain(self, lifetimes: frozenset[Lifetime]) -> None:
+        """Close idle connections to endpoint processes that no longer exist.
 
-        :param identities: identities of the endpoints that exist.
+        :param lifetimes: the processes that exist.
         """
-        for identity, pool in list(self._pools.items()):
-            if identity in identities:
+        for lifetime, pool in list(self._pools.items()):
+            if lifetime in lifetimes:
                 continue
             pool.close_idle()
             if not pool.in_use:
-                del self._pools[identity]
+                del self._pools[lifetime]
 
     def prepare_connections(self) -> None:
         """Open connections in advance to endpoints that were called lately.
--- a/tests/core/fleet/test_endpoints.py
+++ b/tests/core/fleet/test_endpoints.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 from attrs import evolve
 
@@ -6,6 +7,7 @@
     MISSING_ENTRY_HOLD_MS,
     Endpoint,
     EndpointDirectory,
+    get_identity,
     restricts_work,
 )
 
@@ -123,3 +125,21 @@
     cold = make_endpoint(cold_until_ms=3_000.0)
     assert not restricts_work(cold, make_endpoint())
     assert not restricts_work(cold, make_endpoint(cold_until_ms=3_000.0 + COLD_END_TOLERANCE_MS))
+
+
+def test_lifetime_differs_between_processes_only():
+    # Guards against what was learned about one process of an endpoint and applied to another.
+    endpoint = make_endpoint("e 1")
+    for change in ({"born_ms": 7}, {"address": "10.0.0.2:80"}):
+        assert evolve(endpoint, **change).lifetime != endpoint.lifetime
+    assert evolve(endpoint, sequence=4.0, draining=True, slots=9).lifetime == endpoint.lifetime
+    assert get_identity(endpoint.lifetime) == "e 1"
+
+
+def test_lifetime_is_not_sent_to_other_instances():
+    # Guards against messages between instances that grow with a value that they can compute.
+    endpoint = make_endpoint()
+    before = msgspec.msgpack.encode(endpoint)
+    assert endpoint.lifetime
+    assert msgspec.msgpack.encode(endpoint) == before
+    assert msgspec.msgpack.decode(before, type=Endpoint) == endpoint
--- a/tests/core/fleet/test_exchange.py
+++ b/tests/core/fleet/test_exchange.py
@@ -345,8 +345,9 @@
     route = make_route(max_attempts=1)
     sim.add_route_services(route)
     for identity in ("single-0", "single-1", "single-2"):
-        sim.selector.record_sent(identity, 0, sim.clock.now_ms())
-        sim.selector.record_connection_lost(identity, 0, sim.clock.now_ms())
+        lifetime = sim.get_lifetime(identity)
+        sim.selector.record_sent(lifetime, 0, sim.clock.now_ms())
+        sim.selector.record_connection_lost(lifetime, 0, sim.clock.now_ms())
     _, responses = sim.start(route)
     sim.sender.sends[-1].reply(200)
     assert responses[0].status == 200
--- a/tests/core/fleet/test_overload.py
+++ b/tests/core/fleet/test_overload.py
@@ -58,7 +58,7 @@
     sim.add_route_services(route, replicas=1)
     for service in route.gather.shards[:2]:
         for attempt in range(60):
-            sim.selector.record_sent(f"{service}-0", -attempt, sim.clock.now_ms())
+            sim.selector.record_sent(sim.get_lifetime(f"{service}-0"), -attempt, sim.clock.now_ms())
     _, responses = sim.start(route)
     assert (responses[0].status, responses[0].outcome) == (503, "full")
     assert sim.sender.sends == []
--- a/tests/core/fleet/test_ratelimit.py
+++ b/tests/core/fleet/test_ratelimit.py
@@ -83,7 +83,9 @@
     sim = SimTier()
     route = make_gather_route(shards=2, min_share=1.0)
     sim.add_service("shard-0", replicas=1)
-    sim.rate_limit.record_response("shard-0-0", 1.0, Ran.YES, 0.0, sim.clock.now_ms())
+    sim.rate_limit.record_response(
+        sim.get_lifetime("shard-0-0"), 1.0, Ran.YES, 0.0, sim.clock.now_ms()
+    )
     sim.timers.advance(1_000)
     _, responses = sim.start(route)
     assert responses[0].status == 503
@@ -95,7 +97,9 @@
 def test_request_is_rejected_at_once_if_all_endpoints_reached_their_limit():
     sim = SimTier()
     sim.add_service("single", replicas=1)
-    sim.rate_limit.record_response("single-0", 1.0, Ran.YES, 0.0, sim.clock.now_ms())
+    sim.rate_limit.record_response(
+        sim.get_lifetime("single-0"), 1.0, Ran.YES, 0.0, sim.clock.now_ms()
+    )
     _, responses = sim.start(make_route())
     assert (responses[0].status, responses[0].outcome) == (503, "full")
     assert sim.sender.sends == []
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -229,6 +229,9 @@
                 )
             )
 
+    def get_lifetime(self, identity):
+        return self.endpoints.get(identity).lifetime
+
     def add_route_services(self, route, replicas=3):
         for service in self.services_of(route):
             self.add_service(service, replicas)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -128,6 +128,46 @@
         assert endpoints.get(f"i-{index}").cold_until_ms > clock.now_ms()
 
 
+@pytest.mark.parametrize("born", [1_700_000_000_000, 1_700_000_060_000])
+def test_searcher_that_starts_again_at_another_address_is_used_there(deployment, born):
+    # Guards against searchers that are lost once they start again under their ids.
+    first = deployment.add_searcher("i-1", "s1")
+    deployment.configure(make_route())
+    deployment.start()
+    assert deployment.send_request("/one/x", request_id="before")[0] == 200
+    first.respond = lambda headers: None
+    first.close()
+    for index in range(3):
+        assert deployment.send_request("/one/x", request_id=f"down{index}")[0] in (502, 503)
+    second = deployment.add_searcher("i-1", "s1")
+    entry = make_entry(second, "s1", born=born, seq=1)
+    deployment.store.put("servers", "i-1", entry)
+    gevent.sleep(0.1)
+    for index in range(3):
+        assert deployment.send_request("/one/x", request_id=f"after{index}")[0] == 200
+    assert len(second.executed) == 3
+
+
+def test_connections_to_a_former_process_are_not_used_for_its_successor(deployment):
+    # Guards against a connection, and a limit, that outlive the process that they belong to.
+    searcher = deployment.add_searcher("i-1", "s1")
+    searcher.respond = lambda headers: searcher.build_response(
+        headers, extra=b"Server-Limit: 1.0\r\n"
+    )
+    deployment.configure(make_route())
+    deployment.start()
+    assert deployment.send_request("/one/x", request_id="before")[0] == 200
+    assert deployment.send_request("/one/x", request_id="limited")[0] == 503
+    entry = make_entry(searcher, "s1", born=1_700_000_060_000, seq=1)
+    deployment.store.put("servers", "i-1", entry)
+    gevent.sleep(0.1)
+    assert deployment.send_request("/one/x", request_id="after")[0] == 200
+    assert searcher.connections == 2
+    gevent.sleep(0.6)
+    assert deployment.instance.rate_limit.count_limited() == 1
+    assert len(deployment.instance.sender._pools) == 1
+
+
 def test_evacuated_zone_gets_no_requests_until_the_evacuation_ends(deployment):
     searcher = deployment.add_searcher("i-1", "s1")
     deployment.configure(make_route())
@@ -239,7 +279,8 @@
     deployment.start()
     for index in range(6):
         assert deployment.send_request("/one/x", request_id=f"r{index}")[0] == 200
-    assert deployment.instance.state.endpoints.identities() == {"i-1"}
+    known = deployment.instance.state.endpoints.list_all()
+    assert [endpoint.identity for endpoint in known] == ["i-1"]
 
 
 @pytest.mark.parametrize("spec", ["\udce9\udcff\udc00", {"service": "\ud83d", "addr": "x"}])
@@ -285,7 +326,7 @@
     sock.close()
     gevent.sleep(0.05)
     assert deployment.instance.request_handler.running == 0
-    assert deployment.instance.sender._pools["i-1"].in_use == 0
+    assert sum(pool.in_use for pool in deployment.instance.sender._pools.values()) == 0
     assert searcher.connections == 1
 
 
