Strict revocation of API keys, and refusals that may be wrong

An instance that is cut off kept serving keys that were revoked meanwhile, and answered 401 or 404 for what a newer configuration allows.

With bounds.strict_revoke, routes that need a key get 503 once neither the store nor a peer has confirmed the configuration for bounds.revoke_ms.

In every deployment with client accounts, 401 and 404 become 503 while a peer announces a newer configuration, or while the instance is cut off.

--- a/src/persimmonspur/entry/handlers.py
+++ b/src/persimmonspur/entry/handlers.py
@@ -8,12 +8,15 @@
 from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, AccountDirectory
 from persimmonspur.core.fleet.context import ExchangeContext
 from persimmonspur.core.fleet.exchange import Exchange
+from persimmonspur.core.fleet.freshness import ConfigurationStanding
 from persimmonspur.core.fleet.messages import ClientRequest, ClientResponse, Headers
 from persimmonspur.core.fleet.routes import Route, RouteTable, RouteTableHolder, WeightedRotation
 from persimmonspur.entry.observer import FinishedRequest
 from persimmonspur.entry.server import HttpRequest, Respond, ServerResponse
 
 UNCONFIGURED_RETRY_AFTER_MS = 500.0
+# Another instance may have a current configuration.
+UNCONFIRMED_RETRY_AFTER_MS = 200.0
 # A client that looks up addresses again finds other instances at once.
 LEAVING_RETRY_AFTER_MS = 50.0
 
@@ -44,6 +47,9 @@
     is_challenge: bool = False
 
 
+_UNCONFIRMED = _Refusal(503, "unconfirmed", UNCONFIRMED_RETRY_AFTER_MS)
+
+
 class RequestHandler:
     """Routes client requests to endpoints."""
 
@@ -53,15 +59,19 @@
         routes: RouteTableHolder,
         codec: ClientCodec,
         on_finished: OnFinished,
+        judge_configuration: Callable[[], ConfigurationStanding],
     ) -> None:
         """Create a handler for the routes in a holder.
 
         :param on_finished: called when a request ended.
+        :param judge_configuration: returns how far the table in the holder may be relied on;
+            called where the configuration has client accounts.
         """
         self._exchange_context = exchange_context
         self._routes = routes
         self._codec = codec
         self._on_finished = on_finished
+        self._judge_configuration = judge_configuration
         self._rotation = WeightedRotation()
         self._running: set[Exchange] = set()
         self._drain_deadline_ms: float | None = None
@@ -161,13 +171,24 @@
         if not request.host or not request.target.startswith(b"/"):
             return _Refusal(400, "malformed")
         if route is None:
-            return _Refusal(404, "no_route")
-        if request.account is None and table.needs_key(route):
-            return _Refusal(401, "unauthorized", is_challenge=True)
+            return self._qualify(_Refusal(404, "no_route"), table)
+        if table.needs_key(route):
+            if self._judge_configuration() is ConfigurationStanding.REVOKED:
+                return _UNCONFIRMED
+            if request.account is None:
+                return self._qualify(_Refusal(401, "unauthorized", is_challenge=True), table)
         if not services:
             return _Refusal(503, "no_target", UNCONFIGURED_RETRY_AFTER_MS)
         return None
 
+    def _qualify(self, refusal: "_Refusal", table: RouteTable) -> "_Refusal":
+        """Return a refusal, or a temporary one if a newer configuration may allow the request."""
+        if not table.accounts.active:
+            return refusal
+        if self._judge_configuration() is ConfigurationStanding.CURRENT:
+            return refusal
+        return _UNCONFIRMED
+
     def _refuse(
         self,
         request: ClientRequest,
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -43,6 +43,8 @@
     :param interval_ms: time until the sender's next heartbeat; 0 if none follows.
     :param capability: capacity of the sender's machine, in cores.
     :param crash_reports: some of the requests that crash endpoints.
+    :param confirmed_age_ms: time since the store confirmed the sender's configuration; -1 if
+        unknown or not needed.
     """
 
     name: str
@@ -56,6 +58,7 @@
     interval_ms: float
     capability: float
     crash_reports: list[CrashReport] = []
+    confirmed_age_ms: int = -1
 
 
 @frozen
@@ -63,11 +66,14 @@
     """This instance's state for its next heartbeat.
 
     :param interval_ms: time until the heartbeat after it; 0 if none follows.
+    :param confirmed_age_ms: time since the store confirmed the configuration; -1 if unknown or
+        not needed.
     """
 
     ready: bool
     newest_positions: Positions
     interval_ms: float
+    confirmed_age_ms: int = -1
 
 
 class HeartbeatTransport:
@@ -147,6 +153,7 @@
                 state.interval_ms,
                 own.capability,
                 self._select_crash_reports(CRASH_REPORTS_PER_HEARTBEAT),
+                state.confirmed_age_ms,
             )
         )
         for peer in self._membership.peers():
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -1,5 +1,6 @@
 """One entry instance: builds and connects its components."""
 
+import math
 import random
 
 import gevent
@@ -10,6 +11,7 @@
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
 from persimmonspur.core.fleet.context import ExchangeContext
 from persimmonspur.core.fleet.formats import ResponseFormat
+from persimmonspur.core.fleet.freshness import ConfigurationStanding
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
 from persimmonspur.core.fleet.members import (
     ENTRY_SET_HEARTBEAT_INTERVAL_MS,
@@ -52,6 +54,8 @@
 REREGISTRATION_SPREAD_MS = 1_000.0
 # Maintenance that runs this late indicates that the process was stalled.
 STALL_THRESHOLD_MS = 300.0
+# An older confirmation of the configuration is not announced: it helps no peer.
+MAX_ANNOUNCED_AGE_MS = 60_000.0
 
 
 @frozen
@@ -122,6 +126,7 @@
             self._drop_removed_routes,
             self._relay_client,
             self._is_in_entry_set,
+            settings.features,
         )
         self.selector = ReplicaSelector(
             settings.member.failure_domain, rng, self.observer.record_suspicion
@@ -151,7 +156,11 @@
             rng,
         )
         self.request_handler = RequestHandler(
-            self.exchange_context, self.state.routes, codecs.client, self.observer.record_finished
+            self.exchange_context,
+            self.state.routes,
+            codecs.client,
+            self.observer.record_finished,
+            self._judge_configuration,
         )
         self.quarantine.on_quarantined = self.request_handler.end_quarantined
         self.leaving = False
@@ -322,8 +331,30 @@
             self.ready,
             self.state.newest_positions,
             self._choose_heartbeat_interval(),
+            self._get_confirmed_age(),
         )
 
+    def _get_confirmed_age(self) -> int:
+        """Return the age of the configuration's confirmation, in milliseconds, or -1."""
+        age_ms = self.state.freshness.get_age_ms(self.clock.now_ms())
+        if not self.settings.features.strict_revoke or age_ms > MAX_ANNOUNCED_AGE_MS:
+            return -1
+        return math.ceil(age_ms)
+
+    def _judge_configuration(self) -> ConfigurationStanding:
+        """Return how far the configuration in effect may be relied on."""
+        now_ms = self.clock.now_ms()
+        freshness = self.state.freshness
+        feed = self.state.configuration_feed
+        if freshness.is_revoked(now_ms):
+            return ConfigurationStanding.REVOKED
+        has_peers = bool(self.membership.peers())
+        if freshness.may_be_outdated(
+            feed.known_position, self.state.version, feed.failing, has_peers, now_ms
+        ):
+            return ConfigurationStanding.UNCERTAIN
+        return ConfigurationStanding.CURRENT
+
     def _choose_heartbeat_interval(self) -> float:
         now_ms = self.clock.now_ms()
         if not self.membership.is_relay(now_ms):
@@ -344,6 +375,13 @@
                 incarnation=member.incarnation,
                 ready=heartbeat.ready,
             )
+        self.state.freshness.record_heartbeat(
+            heartbeat.newest.configuration,
+            heartbeat.newest.version,
+            heartbeat.confirmed_age_ms,
+            self.state.configuration_feed.known_position,
+            now_ms,
+        )
         self.state.compare_with_peer(member, heartbeat.newest)
         self.quarantine.merge(heartbeat.crash_reports)
 
@@ -353,6 +391,7 @@
         self.timers.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
         now_ms = self.clock.now_ms()
         self._record_stall(now_ms)
+        self.state.freshness.record_activity(now_ms)
         self.membership.own_ready = self.ready
         lifetimes = self.state.endpoints.lifetimes()
         self.selector.retain(lifetimes)
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -15,6 +15,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.fallback import StoreFallback
+from persimmonspur.core.fleet.freshness import ConfigurationFreshness
 from persimmonspur.core.fleet.history import ChangeBatch
 from persimmonspur.core.fleet.messages import TimerHandle, Timers
 from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
@@ -269,16 +270,19 @@
         store: Source[T],
         relay_client: RelayClient,
         relay_format: RelayFormat[T, W],
+        freshness: ConfigurationFreshness | None = None,
     ) -> None:
         """Wrap a source of the store.
 
         :param name: name of the feed.
         :param store: source to use without a relay.
+        :param freshness: is told about the calls that the store answered, if given.
         """
         self._name = name
         self._store = store
         self._relay_client = relay_client
         self._format = relay_format
+        self._freshness = freshness
         self._known_position = NO_POSITION
 
     def list(self, timeout_ms: float) -> Result[Snapshot[T], Failure]:
@@ -297,7 +301,7 @@
             if listed.is_ok() and listed.ok.position >= self._known_position:
                 return listed
             gevent.sleep(LIST_RETRY_MS / 1000)
-        return self._call_store(lambda: self._store.list(timeout_ms))
+        return self._call_store(lambda: self._list_from_store(timeout_ms))
 
     def watch(self, position: StorePosition, wait_ms: float) -> Result[Updates[T], Failure]:
         """Wait for changes from a relay, or from the store if there is none or all fail."""
@@ -313,7 +317,27 @@
             client.selector.exclude(relay, client.clock.now_ms(), period_ms)
             reason = watched.error.message
         client.record_source(STORE, reason)
-        return self._call_store(lambda: self._store.watch(position, wait_ms))
+        return self._call_store(lambda: self._watch_store(position, wait_ms))
+
+    def _list_from_store(self, timeout_ms: float) -> Result[Snapshot[T], Failure]:
+        started_ms = self._relay_client.clock.now_ms()
+        listed = self._store.list(timeout_ms)
+        if self._freshness is not None and listed.is_ok():
+            self._freshness.record_store_call(started_ms)
+        return listed
+
+    def _watch_store(self, position: StorePosition, wait_ms: float) -> Result[Updates[T], Failure]:
+        if self._freshness is None:
+            return self._store.watch(position, wait_ms)
+        wait_ms = min(wait_ms, self._freshness.max_watch_ms)
+        started_ms = self._relay_client.clock.now_ms()
+        watched = self._store.watch(position, wait_ms)
+        if watched.is_ok():
+            # An empty answer was written when the wait was over; one with changes, at any time.
+            empty = not watched.ok.changes and not watched.ok.rejected
+            valid_ms = started_ms + wait_ms if empty else started_ms
+            self._freshness.record_store_call(min(valid_ms, self._relay_client.clock.now_ms()))
+        return watched
 
     def _call_store(self, call: Callable[[], Result[R, Failure]]) -> Result[R, Failure]:
         client = self._relay_client
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -17,12 +17,14 @@
     EndpointDirectory,
     restricts_work,
 )
+from persimmonspur.core.fleet.freshness import ConfigurationFreshness
 from persimmonspur.core.fleet.lag import LagDetector
 from persimmonspur.core.fleet.messages import Timers
 from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
 from persimmonspur.entry import events
+from persimmonspur.entry.features import NO_FEATURES, FeatureSettings
 from persimmonspur.entry.feeds import Feed, Snapshot, Source, Updates
 from persimmonspur.entry.httpclient import HttpClient
 from persimmonspur.entry.observer import Observer
@@ -94,6 +96,7 @@
         on_table_change: Callable[[RouteTable], None],
         relay_client: RelayClient,
         verifies_watches: Callable[[], bool],
+        features: FeatureSettings = NO_FEATURES,
     ) -> None:
         """Create empty state and feeds that are not running.
 
@@ -101,6 +104,7 @@
         :param relay_client: provides the relay to follow instead of the store.
         :param verifies_watches: returns whether this instance verifies its watches; see
             :class:`persimmonspur.entry.feeds.Feed`.
+        :param features: bounds of optional parts.
         """
         self._relay_client = relay_client
         self._observer = observer
@@ -109,9 +113,16 @@
         self._on_table_change = on_table_change
         self.routes = RouteTableHolder()
         self.endpoints = EndpointDirectory()
+        self.freshness = ConfigurationFreshness(features.strict_revoke, features.revoke_ms)
         self.configuration_feed: Feed[RouteTable] = Feed(
             CONFIGURATION,
-            RelayedSource(CONFIGURATION, sources.configuration, relay_client, TABLE_FORMAT),
+            RelayedSource(
+                CONFIGURATION,
+                sources.configuration,
+                relay_client,
+                TABLE_FORMAT,
+                self.freshness,
+            ),
             self._apply_configuration_snapshot,
             self._apply_configuration_updates,
             observer.record_store_call,
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -42,6 +42,7 @@
         900.0,
         0.123456,
         [report] * CRASH_REPORTS_PER_HEARTBEAT,
+        60_000,
     )
     data = msgspec.msgpack.encode(heartbeat)
     assert len(data) < MAX_DATAGRAM_BYTES
--- a/tests/platform/deployments.py
+++ b/tests/platform/deployments.py
@@ -8,6 +8,7 @@
 
 from persimmonspur.clock import Clock
 from persimmonspur.entry.eventlog import EventLog, LineWriter
+from persimmonspur.entry.features import NO_FEATURES
 from persimmonspur.load.processes import find_free_addresses
 from persimmonspur.platform.run import build_instance
 from persimmonspur.platform.settings import EntrySettings
@@ -18,7 +19,7 @@
 class Deployment:
     """A fake store, fake searchers and one entry instance in this process."""
 
-    def __init__(self, tmp_path, store=None, name="front-1"):
+    def __init__(self, tmp_path, store=None, name="front-1", features=NO_FEATURES):
         self.owns_store = store is None
         self.store = store or FakeStore()
         self.searchers = {}
@@ -40,6 +41,7 @@
             5_000.0,
             1.0,
             0.0,
+            features=features,
         )
         self.instance = build_instance(self.settings, clock, self.log)
         self.server = None
--- a/tests/platform/test_accounts.py
+++ b/tests/platform/test_accounts.py
@@ -16,6 +16,7 @@
     make_tenant,
 )
 
+from persimmonspur.entry.features import FeatureSettings
 from persimmonspur.platform.documents import decode_route_table
 
 KEY = "key-acme"
@@ -224,6 +225,74 @@
         first.close()
 
 
+@pytest.mark.parametrize("strict", [True, False])
+def test_unconfirmed_configuration_is_used_for_keys_unless_strict(tmp_path, strict):
+    # Guards against keys that were revoked while an instance was cut off.
+    features = FeatureSettings(strict_revoke=strict, revoke_ms=600.0)
+    deployment = Deployment(tmp_path, features=features)
+    try:
+        routes = [make_route(), make_route("open", path_prefix="/open/", public=True)]
+        start(deployment, *routes)
+        for _ in range(5):
+            # A quiet store confirms the configuration too.
+            gevent.sleep(0.3)
+            assert deployment.send_request("/one/x", headers=KNOWN)[0] == 200
+        deployment.store.silent = True
+        gevent.sleep(2.0)
+        status, fields, body = deployment.send_request("/one/x", headers=KNOWN)
+        assert status == (503 if strict else 200)
+        if strict:
+            assert body == b"unconfirmed" and 0 < float(fields["retry-after"]) < 1
+        assert deployment.send_request("/open/x", headers=KNOWN)[0] == 200
+        deployment.store.silent = False
+        with gevent.Timeout(10.0):
+            while deployment.send_request("/one/x", headers=KNOWN)[0] != 200:
+                gevent.sleep(0.05)
+    finally:
+        deployment.close()
+
+
+def test_confirmation_reaches_an_instance_through_heartbeats(tmp_path):
+    # Guards against instances that follow a relay and reject all keys if strict.
+    features = FeatureSettings(strict_revoke=True, revoke_ms=2_000.0)
+    first = Deployment(tmp_path, name="front-1", features=features)
+    second = Deployment(tmp_path, name="front-2", features=features)
+    try:
+        start(first)
+        second.store.down = True
+        second.start()
+        register_with_each_other(first, second)
+        with gevent.Timeout(10.0):
+            while not second.instance.ready:
+                gevent.sleep(0.05)
+        statuses = set()
+        with gevent.Timeout(10.0):
+            while second.send_request("/one/x", headers=KNOWN)[0] != 200:
+                gevent.sleep(0.05)
+        for _ in range(10):
+            gevent.sleep(0.3)
+            statuses.add(second.send_request("/one/x", headers=KNOWN)[0])
+        assert statuses == {200}
+        first.store.down = True
+        gevent.sleep(3.5)
+        assert second.send_request("/one/x", headers=KNOWN)[0] == 503
+    finally:
+        second.close()
+        first.close()
+
+
+def test_instance_with_an_older_configuration_does_not_refuse_for_good(deployment):
+    # Guards against 401 and 404 for what the configuration in force allows.
+    start(deployment)
+    newer = {"Authorization": "Token newer"}
+    assert deployment.send_request("/one/x", headers=newer)[0] == 401
+    position = deployment.instance.state.configuration_feed.known_position
+    deployment.instance.state.freshness.record_heartbeat(position, 2, -1, position, 0.0)
+    assert deployment.send_request("/one/x", headers=newer)[0] == 503
+    assert deployment.send_request("/new/x", headers=KNOWN)[0] == 503
+    assert deployment.send_request("/one/x", headers=KNOWN)[0] == 200
+
+
 @pytest.mark.parametrize(
     "tenants",
     [
