Stop sending to endpoints that leave or push back

Cause: what an endpoint says about itself in its responses was not read. An endpoint that left got requests until its entry changed in the store, which takes seconds and longer while the store is away, and one that answered 503 with Retry-After was asked again at once.

Change: Server-Leaving in any response marks the endpoint, by identity and start time, at this instance at once and at the others by a datagram that is sent twice; the entry set repeats its marks to instances that start or are heard again. The mark does not depend on the entry and ends with a restart. A 503 with Retry-After keeps requests of this instance away until the time has passed, at most 60 s. Both are checked where endpoints are chosen.

--- a/src/persimmonspur/core/fleet/admission.py
+++ b/src/persimmonspur/core/fleet/admission.py
@@ -1,8 +1,9 @@
 """Choice of an endpoint that has room for one request.
 
-Answers overload and cold starts: an endpoint whose queue is too long, that names a rate limit
-or that is still cold gets no more than it can handle, and a request for which no endpoint has
-room is rejected before anything is sent.
+Answers overload, cold starts and departures: an endpoint whose queue is too long, that names a
+rate limit or that is still cold gets no more than it can handle, one that is leaving or wants no
+requests for a while gets none, and a request for which no endpoint has room is rejected before
+anything is sent.
 """
 
 from collections.abc import Container
@@ -50,12 +51,19 @@
             candidates.remove(chosen)
         return None
 
+    def has_staying_endpoint(self, service: str) -> bool:
+        """Return whether a service has an endpoint that is not leaving."""
+        is_leaving = self._context.pushback.is_leaving
+        return any(not is_leaving(endpoint) for endpoint in self._context.endpoints.usable(service))
+
     def has_free_slot(self, endpoint: Endpoint, now_ms: float) -> bool:
         """Return whether the endpoint would start to work on the request at once."""
         return self._context.selector.has_capacity(endpoint, self._expected_ms, 0.0, now_ms)
 
     def _try_admit(self, endpoint: Endpoint, now_ms: float) -> bool:
         context = self._context
+        if not context.pushback.allows(endpoint, now_ms):
+            return False
         if not context.selector.has_capacity(
             endpoint, self._expected_ms, self._max_wait_ms, now_ms
         ):
--- a/src/persimmonspur/core/fleet/context.py
+++ b/src/persimmonspur/core/fleet/context.py
@@ -12,6 +12,7 @@
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
 from persimmonspur.core.fleet.messages import EndpointResponse, Sender, SendFailure, Timers
 from persimmonspur.core.fleet.progress import Attempt
+from persimmonspur.core.fleet.pushback import EndpointPushback
 from persimmonspur.core.fleet.quarantine import Quarantine
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.selection import ReplicaSelector
@@ -37,6 +38,7 @@
     retry_budget: RetryBudget
     cold_start_limit: ColdStartLimit
     rate_limit: EndpointRateLimit
+    pushback: EndpointPushback
     quarantine: Quarantine
     response_format: ResponseFormat
     on_decision: Callable[..., None]
@@ -75,6 +77,7 @@
     if response.misdirected:
         selector.record_unreachable(lifetime, attempt.number, now_ms)
         return
+    context.pushback.record_response(attempt.endpoint, response, now_ms)
     sent_ms = attempt.record.sent_ms
     context.rate_limit.record_response(
         lifetime, response.rate_limit_per_s, response.ran, sent_ms, now_ms
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -495,8 +495,8 @@
 
     def _reject_at_start(self) -> None:
         """Reject the request before anything was sent."""
-        usable = self._context.endpoints.usable
-        available = sum(bool(usable(shard.service)) for shard in self._shards)
+        has_staying = self._chooser.has_staying_endpoint
+        available = sum(has_staying(shard.service) for shard in self._shards)
         if self._is_enough(available):
             self._reject("full")
         else:
--- a/src/persimmonspur/core/fleet/messages.py
+++ b/src/persimmonspur/core/fleet/messages.py
@@ -55,6 +55,9 @@
     :param load: numbers of running and waiting requests, if the endpoint reports them.
     :param rate_limit_per_s: requests per second that the endpoint takes from all instances
         together, if it names a limit.
+    :param leaving: whether the endpoint says that it is leaving.
+    :param retry_after_ms: time for which the endpoint wants no requests from this instance;
+        ``None`` if it names none.
     """
 
     status: int
@@ -65,6 +68,8 @@
     misdirected: bool = False
     load: tuple[int, int] | None = None
     rate_limit_per_s: float | None = None
+    leaving: bool = False
+    retry_after_ms: float | None = None
 
 
 @frozen
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -96,6 +96,18 @@
 ENDPOINT_LIMIT_ENDED = define_event(
     6209, "endpoint_limit_ended", "INFO", "endpoint {endpoint} no longer names a limit"
 )
+ENDPOINT_LEAVING = define_event(
+    6221,
+    "endpoint_leaving",
+    "INFO",
+    "sending nothing more to endpoint {endpoint}, which is leaving; learnt from {source}",
+)
+ENDPOINT_PUSHED_BACK = define_event(
+    6222,
+    "endpoint_pushed_back",
+    "INFO",
+    "endpoint {endpoint} wants no requests from this instance for {period_ms} ms",
+)
 EVACUATED = define_event(
     6205,
     "evacuated",
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -10,6 +10,7 @@
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
 from persimmonspur.core.fleet.context import ExchangeContext
+from persimmonspur.core.fleet.endpoints import Lifetime
 from persimmonspur.core.fleet.formats import ResponseFormat
 from persimmonspur.core.fleet.freshness import ConfigurationStanding
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
@@ -20,6 +21,7 @@
     Membership,
 )
 from persimmonspur.core.fleet.messages import TimerHandle
+from persimmonspur.core.fleet.pushback import EndpointPushback
 from persimmonspur.core.fleet.quarantine import CrashReport, Quarantine, Standing
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.relays import RelaySelector
@@ -32,6 +34,7 @@
 from persimmonspur.entry.feeds import MAX_LIST_TIMEOUT_MS
 from persimmonspur.entry.handlers import ClientCodec, RequestHandler
 from persimmonspur.entry.heartbeats import Heartbeat, HeartbeatTransport, OwnState
+from persimmonspur.entry.leaving import LeavingAnnouncer
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerHandler
 from persimmonspur.entry.relays import LIST_PATIENCE_MS, RelayClient
@@ -137,6 +140,7 @@
         )
         self.cold_start_limit = ColdStartLimit(settings.member.name)
         self.rate_limit = EndpointRateLimit(self.observer.record_rate_limit)
+        self.pushback = EndpointPushback(self.observer.record_pushback)
         self.quarantine = Quarantine(clock, self._share_crash_report)
         self.sender = EndpointSender(codecs.endpoint, self._get_max_connections, clock, timers)
         self.exchange_context = ExchangeContext(
@@ -149,6 +153,7 @@
             self.retry_budget,
             self.cold_start_limit,
             self.rate_limit,
+            self.pushback,
             self.quarantine,
             codecs.response_format,
             self.observer.record_decision,
@@ -165,6 +170,15 @@
         self.quarantine.on_quarantined = self.request_handler.end_quarantined
         self.leaving = False
         self.heartbeats: HeartbeatTransport | None = None
+        self._leaving_announcer = LeavingAnnouncer(
+            self.pushback,
+            self.state.endpoints,
+            self.membership,
+            lambda: self.heartbeats,
+            clock,
+            timers,
+            log,
+        )
         self._peer_server: HttpServer | None = None
         self._last_maintenance_ms = 0.0
         self._total_stall_ms = 0.0
@@ -189,6 +203,7 @@
             self._on_heartbeat,
             self.quarantine.select_shared,
         )
+        self._leaving_announcer.register(self.heartbeats)
         self._peer_server = self.serve(
             self.settings.member.peer_address,
             PeerHandler(self.state.export_state, self.state.relay_handler),
@@ -375,6 +390,8 @@
                 incarnation=member.incarnation,
                 ready=heartbeat.ready,
             )
+            if heartbeat.ready and self._is_in_entry_set():
+                self._leaving_announcer.announce_known(member)
         self.state.freshness.record_heartbeat(
             heartbeat.newest.configuration,
             heartbeat.newest.version,
@@ -397,11 +414,21 @@
         self.selector.retain(lifetimes)
         self.cold_start_limit.retain(lifetimes)
         self.rate_limit.retain(lifetimes)
-        self.sender.retain(lifetimes)
+        self.pushback.expire(self.state.endpoints, now_ms)
+        self.sender.retain(self._list_sendable_lifetimes())
         self.sender.prepare_connections()
         self.quarantine.expire()
         self._update_limit_shares()
 
+    def _list_sendable_lifetimes(self) -> frozenset[Lifetime]:
+        """Return the endpoint processes to which connections are kept."""
+        lifetimes = set()
+        for endpoint in self.state.endpoints.list_all():
+            if self.pushback.is_leaving(endpoint):
+                continue
+            lifetimes.add(endpoint.lifetime)
+        return frozenset(lifetimes)
+
     def _update_limit_shares(self) -> None:
         """Update this instance's share of the limits that apply to all instances together.
 
@@ -489,7 +516,7 @@
         counts = self.state.endpoints.count_states(self.clock.now_ms())
         counts["suspected"] = self.selector.count_suspected()
         counts["limited"] = self.rate_limit.count_limited()
-        return counts
+        return counts | self.pushback.count_states(self.state.endpoints, self.clock.now_ms())
 
     def _get_store_ages(self) -> dict[str, float]:
         now_ms = self.clock.now_ms()
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -68,6 +68,10 @@
         else:
             self.log.record(events.ENDPOINT_LIMIT_ENDED, endpoint=endpoint)
 
+    def record_pushback(self, endpoint: str, period_ms: float) -> None:
+        """Log that an endpoint wants no requests for some time."""
+        self.log.record(events.ENDPOINT_PUSHED_BACK, endpoint=endpoint, period_ms=round(period_ms))
+
     def record_crash_report(self, report: CrashReport, standing: Standing) -> None:
         """Log what is known about a request that may crash endpoints."""
         fields = {
--- a/src/persimmonspur/platform/headers.py
+++ b/src/persimmonspur/platform/headers.py
@@ -1,5 +1,7 @@
 """Converts between the platform's HTTP messages and the project's requests and responses."""
 
+import re
+
 from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, Account, AccountDirectory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointResponse, Headers, ShardResult
@@ -17,6 +19,8 @@
 SERVER_LOAD = b"X-Server-Load"
 # Requests per second that the endpoint takes from all instances together.
 SERVER_LIMIT = b"Server-Limit"
+# In any response of an endpoint: it is leaving and wants no more requests.
+SERVER_LEAVING = b"Server-Leaving"
 PART_STAMPS = b"X-Part-Stamps"
 MISSING_PARTS = b"X-Missing-Parts"
 RETRY_AFTER = b"Retry-After"
@@ -53,6 +57,9 @@
 _NOT_EXECUTED_KEY = NOT_EXECUTED.lower()
 _SERVER_LOAD_KEY = SERVER_LOAD.lower()
 _SERVER_LIMIT_KEY = SERVER_LIMIT.lower()
+_SERVER_LEAVING_KEY = SERVER_LEAVING.lower()
+_RETRY_AFTER_KEY = RETRY_AFTER.lower()
+_SECONDS = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
@@ -166,7 +173,11 @@
 
 
 def parse_endpoint_response(response: HttpResponse) -> EndpointResponse:
-    """Convert an endpoint's response, dropping hop-by-hop header fields."""
+    """Convert an endpoint's response, dropping hop-by-hop header fields.
+
+    A response of another endpoint that has the address now says nothing about the state of the
+    endpoint that was meant.
+    """
     fields: dict[bytes, bytes] = {}
     headers: Headers = []
     for name, value in response.headers:
@@ -186,6 +197,12 @@
         misdirected=misdirected,
         load=_parse_load(fields.get(_SERVER_LOAD_KEY)),
         rate_limit_per_s=_parse_rate(fields.get(_SERVER_LIMIT_KEY)),
+        leaving=not misdirected and fields.get(_SERVER_LEAVING_KEY, b"").strip() == b"1",
+        retry_after_ms=(
+            _parse_seconds(fields.get(_RETRY_AFTER_KEY))
+            if response.status == STATUS_UNAVAILABLE
+            else None
+        ),
     )
 
 
@@ -232,6 +249,13 @@
     return _parse_non_negative_number(value) if value is not None else None
 
 
+def _parse_seconds(value: bytes | None) -> float | None:
+    """Return a number of seconds in milliseconds; dates and other forms are not read."""
+    if value is None or _SECONDS.fullmatch(value.strip()) is None:
+        return None
+    return float(value) * 1000
+
+
 def _parse_load(value: bytes | None) -> tuple[int, int] | None:
     if value is None:
         return None
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -14,6 +14,7 @@
 from persimmonspur.core.fleet.exchange import Exchange
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
 from persimmonspur.core.fleet.messages import ClientRequest, EndpointResponse, SendFailure
+from persimmonspur.core.fleet.pushback import EndpointPushback
 from persimmonspur.core.fleet.quarantine import Quarantine
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.roles import Member
@@ -185,6 +186,7 @@
         self.selector = ReplicaSelector("domain-0", random.Random(seed))
         self.retry_budget = RetryBudget(ratio, slack, 10_000.0)
         self.rate_limit = EndpointRateLimit()
+        self.pushback = EndpointPushback()
         self.quarantine = Quarantine(self.clock)
         self.decisions = []
         self.counts = Counter()
@@ -198,6 +200,7 @@
             self.retry_budget,
             ColdStartLimit("instance-0"),
             self.rate_limit,
+            self.pushback,
             self.quarantine,
             SimResponseFormat(),
             lambda name, **fields: self.decisions.append((name, fields)),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -96,6 +96,48 @@
     )
 
 
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_leaving_endpoint_is_recognized_in_any_response(status):
+    response = HttpResponse(status, [(b"server-leaving", b" 1 ")], b"", True)
+    assert headers.parse_endpoint_response(response).leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "fields"),
+    [(200, []), (200, [(b"Server-Leaving", b"0")]), (421, [(b"Server-Leaving", b"1")])],
+)
+def test_staying_endpoint_is_not_taken_for_a_leaving_one(status, fields):
+    # Guards against an endpoint that is given up because of the one that has its address now.
+    assert not headers.parse_endpoint_response(HttpResponse(status, fields, b"", True)).leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"2", 2_000.0),
+        (b" 0.25 ", 250.0),
+        (b".5", 500.0),
+        (b"0", 0.0),
+        (b"9" * 400, float("inf")),
+        (b"-1", None),
+        (b"1_0", None),
+        (b"nan", None),
+        (b"\xb2", None),
+        (b"", None),
+        (b"Wed, 21 Oct 2026 07:28:00 GMT", None),
+    ],
+)
+def test_retry_after_is_parsed_and_unreadable_values_are_ignored(value, expected):
+    response = HttpResponse(503, [(b"Retry-After", value)], b"", True)
+    assert headers.parse_endpoint_response(response).retry_after_ms == expected
+
+
+@pytest.mark.parametrize("status", [200, 421, 429, 500])
+def test_only_a_503_names_a_time_for_which_the_endpoint_wants_no_requests(status):
+    response = HttpResponse(status, [(b"Retry-After", b"2")], b"", True)
+    assert headers.parse_endpoint_response(response).retry_after_ms is None
+
+
 def test_merged_response_lists_its_shards():
     response_format = headers.PlatformResponseFormat()
     fields = dict(
