Decide rollouts of a new version from the responses of all instances

Cause: an operator needs to move a service to a new version that may be bad from the start, later, under load or on one route, without exposing more than a tenth of the requests to it.

EndpointChooser asks it for the endpoints that a request may be sent to; Exchange reports sends and results to it. Without rollouts (the default) nothing is asked or recorded.

--- a/src/persimmonspur/core/fleet/admission.py
+++ b/src/persimmonspur/core/fleet/admission.py
@@ -6,7 +6,7 @@
 anything is sent.
 """
 
-from collections.abc import Container
+from collections.abc import Collection, Iterable
 
 from persimmonspur.core.fleet.context import ExchangeContext
 from persimmonspur.core.fleet.endpoints import Endpoint
@@ -32,13 +32,26 @@
         self._max_wait_ms = MAX_QUEUE_WAIT_FRACTION * route.objective_ms
         self._expected_ms = expected_ms
 
-    def choose(self, service: str, tried: Container[str], now_ms: float) -> Endpoint | None:
+    def choose(self, service: str, tried: Collection[str], now_ms: float) -> Endpoint | None:
         """Return the best endpoint of a service that may get the request now.
 
         :param tried: identities of the endpoints that the request was sent to before.
         """
+        usable = self._context.endpoints.usable(service)
+        rollouts = self._context.rollouts
+        if rollouts is None:
+            return self._choose_among(usable, tried, now_ms)
+        for tier in rollouts.select_candidates(service, usable, not tried, now_ms):
+            chosen = self._choose_among(tier, tried, now_ms)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _choose_among(
+        self, endpoints: Iterable[Endpoint], tried: Collection[str], now_ms: float
+    ) -> Endpoint | None:
         candidates = []
-        for endpoint in self._context.endpoints.usable(service):
+        for endpoint in endpoints:
             if endpoint.identity in tried:
                 continue
             candidates.append(endpoint)
--- a/src/persimmonspur/core/fleet/context.py
+++ b/src/persimmonspur/core/fleet/context.py
@@ -15,6 +15,7 @@
 from persimmonspur.core.fleet.pushback import EndpointPushback
 from persimmonspur.core.fleet.quarantine import Quarantine
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
+from persimmonspur.core.fleet.rollouts.fleet import Rollouts
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.core.routing.latency import LatencyEstimator
 from persimmonspur.errors import Ran
@@ -27,6 +28,7 @@
     :param on_decision: called with the name and the fields of a decision about one request.
     :param count_send: called with the kind of each send, and for each send that the retry
         budget denied.
+    :param rollouts: orders to move services to other versions; ``None`` in deployments without.
     """
 
     clock: Clock
@@ -44,6 +46,7 @@
     on_decision: Callable[..., None]
     count_send: Callable[[str], None]
     rng: random.Random
+    rollouts: Rollouts | None = None
 
 
 def record_send_failure(
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -203,6 +203,8 @@
         self._attempts.append(record)
         self._context.selector.record_sent(endpoint.lifetime, number, now_ms)
         self._context.rate_limit.record_sent(endpoint.lifetime, now_ms)
+        if self._context.rollouts is not None:
+            self._context.rollouts.record_sent(endpoint, len(shard.tried) == 1, now_ms)
         return True
 
     def _record_attempt(
@@ -249,6 +251,8 @@
             return
         now_ms = self._context.clock.now_ms()
         attempt.record.took_ms = now_ms - attempt.record.sent_ms
+        if self._context.rollouts is not None:
+            self._context.rollouts.record_result(attempt, self._route.name, result, now_ms)
         if isinstance(result, SendFailure):
             attempt.record.result = result.reason
             self._handle_failure(shard, attempt, result, now_ms)
--- /dev/null
+++ b/src/persimmonspur/core/fleet/rollouts/traffic.py
@@ -0,0 +1,74 @@
+"""Share of the requests that go to the new version, counted without randomness."""
+
+from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE
+
+# Part of the exposure that the new version gets before the verdict. The rest is a margin for
+# the requests that it gets while the traffic shifts and before a fault is noticed.
+CANARY_FRACTION = 0.7
+# Part of the slack that the first requests use, so that services with few requests give
+# evidence as well, and the share of the first attempts that goes to the new version for it.
+SLACK_FRACTION = 0.3
+EXTRA_SHARE = 0.4
+# Sends that are made up for later if no endpoint of the new version had room.
+MAX_CREDIT = 2.0
+# The traffic shifts over this part of the order's time, but no longer than this.
+SHIFT_FRACTION = 0.125
+MAX_SHIFT_MS = 1_500.0
+# During this part of the shift the share rises to this value, and then to all requests. The
+# old version has enough requests until then to compare with.
+RISE_FRACTION = 0.8
+MAX_RISING_SHARE = 0.8
+
+
+class SendCredit:
+    """Counts how many first attempts may go to the new version."""
+
+    def __init__(self, exposure_share: float, exposure_slack: float) -> None:
+        self._canary_share = CANARY_FRACTION * exposure_share
+        self._extra_left = SLACK_FRACTION * exposure_slack / ENTRY_SET_SIZE
+        # The first request gives evidence already if the slack allows it.
+        self._credit = min(1.0, self._extra_left)
+        self._extra_left -= self._credit
+
+    @property
+    def canary_share(self) -> float:
+        """Share of the first attempts that goes to the new version before the verdict."""
+        return self._canary_share
+
+    @property
+    def canary_load(self) -> float:
+        """Share of the first attempts that goes to the new version now, with the slack's part."""
+        return self._canary_share + min(EXTRA_SHARE, self._extra_left)
+
+    @property
+    def available(self) -> bool:
+        """Whether the next first attempt may go to the new version."""
+        # Without the tolerance, ten additions of 0.1 would not allow one send.
+        return self._credit >= 1.0 - 1e-9
+
+    def record_first_attempt(self, share: float) -> None:
+        """Add the credit of one first attempt to any version."""
+        if share <= self._canary_share:
+            share = self.canary_load
+            self._extra_left -= share - self._canary_share
+        self._credit = min(MAX_CREDIT, self._credit + share)
+
+    def spend(self) -> None:
+        """Use the credit of one send to the new version."""
+        self._credit -= 1.0
+
+
+def compute_shift_ms(over_ms: float) -> float:
+    """Return the time over which the traffic shifts."""
+    return min(MAX_SHIFT_MS, SHIFT_FRACTION * over_ms)
+
+
+def compute_shift_share(canary_share: float, elapsed_ms: float, over_ms: float) -> float:
+    """Return the share of the new version while the traffic shifts.
+
+    :param elapsed_ms: time since the shift began.
+    """
+    progress = elapsed_ms / (RISE_FRACTION * compute_shift_ms(over_ms))
+    if progress >= 1.0 / RISE_FRACTION:
+        return 1.0
+    return canary_share + min(1.0, progress) * (MAX_RISING_SHARE - canary_share)
