Read the orders for rollouts, and write their states conditionally

Cause: the orders and their states live in the store, and two instances may decide on one order at the same time.

Change: decode_rollout reads an order; one that cannot be carried out is returned with its problem, so that its state is written. put_status writes a status only at the known revision and returns what the store has otherwise. The fake store has statuses and conditional writes.

--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -9,6 +9,7 @@
 from persimmonspur.core.fleet.accounts import Account, AccountDirectory, build_directory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.roles import Member
+from persimmonspur.core.fleet.rollouts.orders import OrderState, RolloutOrder
 from persimmonspur.core.fleet.routes import (
     ClientLimits,
     Gather,
@@ -116,6 +117,17 @@
     capability: Annotated[float, msgspec.Meta(ge=0.0)] = 1.0
 
 
+class _Rollout(msgspec.Struct):
+    service: str
+    target_version: str
+    over_s: float
+
+
+class _RolloutStatus(msgspec.Struct):
+    state: OrderState
+    target_version: str
+
+
 class ObjectMeta(msgspec.Struct):
     """Metadata of an object in the store."""
 
@@ -128,6 +140,7 @@
 
     meta: ObjectMeta
     spec: Any = None
+    status: Any = None
 
 
 def decode_route_table(spec: Any) -> Result[RouteTable, Failure]:
@@ -198,6 +211,50 @@
     )
 
 
+def decode_rollout(item: StoreObject) -> Result[RolloutOrder, Failure]:
+    """Decode an order to move a service to another version.
+
+    An order that cannot be carried out is returned with its problem, so that its state is
+    written. Its name is that of the service.
+    """
+    name, revision = item.meta.name, item.meta.revision
+    try:
+        entry = msgspec.convert(item.spec, _Rollout)
+    except msgspec.ValidationError as error:
+        target = _find_target(item.spec)
+        state = _decode_order_state(item.status, target)
+        return Ok(RolloutOrder(name, target, 0.0, revision, state, f"unreadable: {error}"))
+    problem = ""
+    if entry.service != name:
+        problem = f"the entry of {name} names the service {entry.service!r}"
+    elif not entry.target_version:
+        problem = "target_version is empty"
+    elif not 0 < entry.over_s < math.inf:
+        problem = f"over_s must be a positive number, not {entry.over_s}"
+    state = _decode_order_state(item.status, entry.target_version)
+    over_ms = 0.0 if problem else entry.over_s * 1000
+    return Ok(RolloutOrder(name, entry.target_version, over_ms, revision, state, problem))
+
+
+def encode_order_state(order: RolloutOrder, state: OrderState) -> Any:
+    """Encode the state of an order as the status of its object."""
+    return {"state": state.value, "target_version": order.target_version}
+
+
+def _find_target(spec: Any) -> str:
+    target = spec.get("target_version") if isinstance(spec, dict) else None
+    return target if isinstance(target, str) else ""
+
+
+def _decode_order_state(status: Any, target_version: str) -> OrderState:
+    """Return the state that was written for a target; that of an earlier target says nothing."""
+    try:
+        decoded = msgspec.convert(status, _RolloutStatus)
+    except msgspec.ValidationError:
+        return OrderState.NONE
+    return decoded.state if decoded.target_version == target_version else OrderState.NONE
+
+
 def decode_member(item: StoreObject) -> Result[Member, Failure]:
     """Decode an instance's registration."""
     try:
--- a/src/persimmonspur/platform/sources.py
+++ b/src/persimmonspur/platform/sources.py
@@ -9,6 +9,7 @@
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
 from persimmonspur.core.fleet.roles import Member
+from persimmonspur.core.fleet.rollouts.orders import OrderState, RolloutOrder
 from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.entry.feeds import Snapshot, Updates
 from persimmonspur.errors import ErrorKind, Failure
@@ -16,13 +17,16 @@
     StoreObject,
     decode_endpoint,
     decode_member,
+    decode_rollout,
     decode_route_table,
+    encode_order_state,
 )
 from persimmonspur.platform.store import (
     CONFIGURATION_KIND,
     ENDPOINT_KIND,
     EVACUATION_KIND,
     INSTANCE_KIND,
+    ROLLOUT_KIND,
     Listing,
     PlatformStore,
     UnreadableObject,
@@ -115,6 +119,26 @@
     return StoreObjectSource(store, EVACUATION_KIND, lambda item: _decode_name(item))
 
 
+def open_rollout_source(store: PlatformStore) -> StoreObjectSource[RolloutOrder]:
+    """Create the source of orders to move services to other versions."""
+    return StoreObjectSource(store, ROLLOUT_KIND, decode_rollout)
+
+
+class StoreOrderWriter:
+    """Implements :class:`persimmonspur.entry.state.OrderWriter`."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    def write_state(
+        self, order: RolloutOrder, state: OrderState
+    ) -> Result[tuple[RolloutOrder, int], Failure]:
+        """Write a state if the order still has the known revision."""
+        status = encode_order_state(order, state)
+        written = self._store.put_status(ROLLOUT_KIND, order.service, order.revision, status)
+        return written.bind(decode_rollout).map(lambda current: (current, self._store.era))
+
+
 def open_member_source(store: PlatformStore) -> StoreObjectSource[Member]:
     """Create the source of registered instances."""
     return StoreObjectSource(store, INSTANCE_KIND, decode_member)
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -23,10 +23,12 @@
 ENDPOINT_KIND = "servers"
 EVACUATION_KIND = "evacuations"
 INSTANCE_KIND = "entry-instances"
+ROLLOUT_KIND = "rollouts"
 
 CALL_TIMEOUT_MS = 1_500.0
 # A watch is answered at most this long after its requested wait has ended.
 WATCH_MARGIN_MS = 1_500.0
+STATUS_CONFLICT = 409
 # Counts how often the store was restored from an older copy.
 STORE_ERA = b"Store-Era"
 
@@ -166,6 +168,24 @@
         path = f"/-/objects/{kind}/{quote(name)}"
         return self._request("PUT", path, body, CALL_TIMEOUT_MS).map(_discard_body)
 
+    def put_status(
+        self, kind: str, name: str, revision: int, status: Any
+    ) -> Result[StoreObject, Failure]:
+        """Write an object's status if the object still has a revision.
+
+        :returns: the object, or what it is now if another client has changed it.
+        """
+        body = msgspec.json.encode({"meta": {"name": name, "revision": revision}, "status": status})
+        path = f"/-/objects/{kind}/{quote(name, safe='')}/status"
+        result = self._client.request("PUT", path, body, CALL_TIMEOUT_MS)
+        if result.is_error():
+            return Error(result.error)
+        response = result.ok
+        self._observe_era(response)
+        if response.status != STATUS_CONFLICT and not 200 <= response.status < 300:
+            return Error(_build_status_failure("PUT", path, response.status))
+        return _decode(response.body, StoreObject)
+
     def remove(self, kind: str, name: str) -> Result[None, Failure]:
         """Remove an object."""
         path = f"/-/objects/{kind}/{quote(name)}"
@@ -181,13 +201,7 @@
         self._observe_era(response)
         if 200 <= response.status < 300:
             return Ok(response)
-        kinds = {
-            404: ErrorKind.NOT_FOUND,
-            409: ErrorKind.CONFLICT,
-            STATUS_GONE: ErrorKind.CONFLICT,
-        }
-        kind = kinds.get(response.status, ErrorKind.STORE_UNAVAILABLE)
-        return Error(Failure.of(kind, f"store: {method} {path} returned status {response.status}"))
+        return Error(_build_status_failure(method, path, response.status))
 
     def _observe_era(self, response: HttpResponse) -> None:
         era = _parse_era(response)
@@ -199,6 +213,16 @@
             self.on_new_era(era)
 
 
+def _build_status_failure(method: str, path: str, status: int) -> Failure:
+    kinds = {
+        404: ErrorKind.NOT_FOUND,
+        STATUS_CONFLICT: ErrorKind.CONFLICT,
+        STATUS_GONE: ErrorKind.CONFLICT,
+    }
+    kind = kinds.get(status, ErrorKind.STORE_UNAVAILABLE)
+    return Failure.of(kind, f"store: {method} {path} returned status {status}")
+
+
 def _parse_era(response: HttpResponse) -> int:
     value = find_header(response.headers, STORE_ERA)
     return (parse_digits(value) if value is not None else None) or 0
--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -62,6 +62,14 @@
         self.objects.setdefault(kind, {})[name] = item
         self._add_event(kind, item, False)
 
+    def put_status(self, kind, name, status):
+        self.revision += 1
+        known = self.objects[kind][name]
+        meta = known["meta"] | {"revision": self.revision}
+        item = {"meta": meta, "spec": known["spec"], "status": status}
+        self.objects[kind][name] = item
+        self._add_event(kind, item, False)
+
     def delete(self, kind, name):
         item = self.objects.get(kind, {}).pop(name, None)
         if item is not None:
@@ -141,6 +149,14 @@
             return 409, self.objects[kind][name]
         if method == "PUT" and not exists:
             return 404, {}
+        expected = document["meta"].get("revision")
+        if method == "PUT" and expected is not None:
+            current = self.objects[kind][name]
+            if current["meta"]["revision"] != expected:
+                return 409, current
+        if path_parts[2:] == ["status"]:
+            self.put_status(kind, name, document["status"])
+            return 200, self.objects[kind][name]
         self.put(kind, name, document["spec"])
         return 200, self.objects[kind][name]
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,14 +1,17 @@
 import pytest
 from platformsim import make_configuration, make_gather_route, make_route
 
+from persimmonspur.core.fleet.rollouts.orders import OrderState
 from persimmonspur.core.fleet.routes import RequestKind
 from persimmonspur.platform.documents import (
     ObjectMeta,
     StoreObject,
     decode_endpoint,
     decode_member,
+    decode_rollout,
     decode_route_table,
     encode_member,
+    encode_order_state,
 )
 
 ENTRY = {
@@ -166,3 +169,59 @@
 
     member = Member("i-1", 5, "zone-a", "region", "10.0.0.1:1", "10.0.0.1:2")
     assert decode_member(make_object(encode_member(member))).ok == member
+
+
+ORDER = {"service": "s1", "target_version": "v2", "over_s": 12}
+
+
+def decode_order(spec, status=None, name="s1"):
+    return decode_rollout(StoreObject(ObjectMeta(name, 5), spec, status)).ok
+
+
+def test_order_and_its_state_are_decoded():
+    order = decode_order(ORDER)
+    assert (order.service, order.target_version, order.over_ms) == ("s1", "v2", 12_000.0)
+    assert (order.revision, order.state, order.problem) == (5, OrderState.NONE, "")
+    status = encode_order_state(order, OrderState.RUNNING)
+    assert status == {"state": "running", "target_version": "v2"}
+    assert decode_order(ORDER, status).state is OrderState.RUNNING
+
+
+def test_state_of_an_earlier_target_says_nothing():
+    # Guards against a new order that counts as ended because the previous one has.
+    status = {"state": "succeeded", "target_version": "v1"}
+    assert decode_order(ORDER, status).state is OrderState.NONE
+
+
+@pytest.mark.parametrize("status", [7, "running", {}, {"state": "odd", "target_version": "v2"}])
+def test_unreadable_status_is_none(status):
+    assert decode_order(ORDER, status).state is OrderState.NONE
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"over_s": 0},
+        {"over_s": -3},
+        {"over_s": "12"},
+        {"over_s": None},
+        {"over_s": float("nan")},
+        {"over_s": float("inf")},
+        {"over_s": 10**400},
+        {"target_version": ""},
+        {"target_version": 2},
+        {"service": "s2"},
+        {"service": None},
+    ],
+)
+def test_order_that_cannot_be_carried_out_has_a_problem(change):
+    # Guards against an order that is ignored, so that its state is never written.
+    order = decode_order(ORDER | change)
+    assert order.problem and order.over_ms == 0.0
+    assert order.service == "s1"
+
+
+@pytest.mark.parametrize("spec", [None, [], "x", 7])
+def test_order_of_another_form_has_a_problem(spec):
+    order = decode_order(spec)
+    assert order.problem and order.target_version == ""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -136,3 +136,23 @@
     listing = store.list("servers").ok
     changes = store.watch("servers", listing.position, 50.0).ok.changes
     assert [(change.object.meta.name, change.removed) for change in changes] == [("i-0", True)]
+
+
+def test_status_is_written_only_at_the_known_revision(fake_store, store):
+    # Guards against a writer that overwrites what another one has decided meanwhile.
+    fake_store.put("rollouts", "s1", {"service": "s1"})
+    revision = fake_store.objects["rollouts"]["s1"]["meta"]["revision"]
+    written = store.put_status("rollouts", "s1", revision, {"state": "running"}).ok
+    assert written.status == {"state": "running"} and written.spec == {"service": "s1"}
+    assert written.meta.revision > revision
+    current = store.put_status("rollouts", "s1", revision, {"state": "succeeded"}).ok
+    assert current.status == {"state": "running"}
+    assert current.meta.revision == written.meta.revision
+
+
+def test_status_of_a_removed_object_is_not_written(fake_store, store):
+    failed = store.put_status("rollouts", "s1", 7, {"state": "running"})
+    assert failed.error.kind is ErrorKind.NOT_FOUND
+    fake_store.down = True
+    failed = store.put_status("rollouts", "s1", 7, {"state": "running"})
+    assert failed.error.kind is ErrorKind.STORE_UNAVAILABLE
