Follow orders for rollouts, exchange evidence and write their states

Cause: core/fleet/rollouts decides, but had no connection to the store and to the other instances.

While an order is in progress the watches of this feed are short, so that its state is confirmed. All of it is built only with exposure_share in the settings.

--- a/src/persimmonspur/core/fleet/rollouts/fleet.py
+++ b/src/persimmonspur/core/fleet/rollouts/fleet.py
@@ -314,7 +314,7 @@
         get_state = self._selector.get_state
 
         def rank(endpoint: Endpoint) -> tuple[bool, bool, str]:
-            blocked = get_state(endpoint.identity).blocked_until_ms > now_ms
+            blocked = get_state(endpoint.lifetime).blocked_until_ms > now_ms
             return (blocked, endpoint.cold_until_ms > now_ms, endpoint.identity)
 
         return tuple(sorted(endpoints, key=rank)[:count])
@@ -422,7 +422,7 @@
         outstanding = 0
         for endpoint in self._endpoints.list_all():
             if endpoint.service == rollout.order.service and endpoint.version != rollout.target:
-                outstanding += len(self._selector.get_state(endpoint.identity).outstanding)
+                outstanding += len(self._selector.get_state(endpoint.lifetime).outstanding)
         return rollout.is_settled(outstanding, now_ms)
 
     def _are_all_settled(self, item: _Progress, now_ms: float) -> bool:
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -144,5 +144,39 @@
     "it belongs to {owner}",
 )
 
+ROLLOUT_CHANGED = define_event(
+    6501,
+    "rollout_changed",
+    "INFO",
+    "rollout of {service} to {target_version} is {phase}: {new_bad} of {new_responses} responses "
+    "bad, {old_bad} of {old_responses} of the old version; {reason}",
+)
+ROLLOUT_PROGRESS = define_event(
+    6502,
+    "rollout_progress",
+    "INFO",
+    "rollout of {service} to {target_version} gets a share of {share} after {elapsed_ms} ms: "
+    "{new_bad} of {new_responses} responses bad, {old_bad} of {old_responses} of the old version",
+)
+ROLLOUT_STATE_WRITTEN = define_event(
+    6503,
+    "rollout_state_written",
+    "INFO",
+    "wrote {state} for the rollout of {service} to {target_version}",
+)
+ROLLOUT_STATE_NOT_WRITTEN = define_event(
+    6504,
+    "rollout_state_not_written",
+    "WARNING",
+    "cannot write {state} for the rollout of {service} to {target_version}: {reason}",
+)
+ROLLOUT_UNKNOWN = define_event(
+    6505,
+    "rollout_unknown",
+    "WARNING",
+    "peer {peer} reports a rollout of {service} to {target_version} that this instance does not "
+    "know; asking for changes again",
+)
+
 # Events about decisions on single requests, by the name that the core passes.
 DECISIONS: dict[str, EventType] = {SEND_FAILED.name: SEND_FAILED}
--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -115,6 +115,7 @@
         batch_delay_ms: float = 0.0,
         verifies_watches: Callable[[], bool] = lambda: False,
         is_urgent: Callable[[T | None, T | None], bool] | None = None,
+        watches_briefly: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a feed that is not running.
 
@@ -131,6 +132,8 @@
         :param is_urgent: returns whether a change from one state of an object to another must
             take effect at once; ``None`` stands for a missing object. A feed with urgent
             changes watches again at once, as often as :class:`WatchPacer` allows.
+        :param watches_briefly: returns whether all watches are short now, because this instance
+            relies on the state being confirmed lately.
         """
         self.name = name
         self._source = source
@@ -143,6 +146,7 @@
         self._is_urgent = is_urgent
         self._pacer = WatchPacer(batch_delay_ms)
         self._verifies_watches = verifies_watches
+        self._watches_briefly = watches_briefly
         self._greenlet: gevent.Greenlet[[], None] | None = None
         self._backoff_ms = 0.0
         self._exception_backoff_ms = 0.0
@@ -293,7 +297,8 @@
 
     def _watch_once(self) -> None:
         # Jitter prevents instances that started together from calling the store in step.
-        max_wait_ms = PROBE_TIMEOUT_MS if self._backoff_ms or self._probing else WATCH_TIMEOUT_MS
+        brief = self._backoff_ms or self._probing or self._watches_briefly()
+        max_wait_ms = PROBE_TIMEOUT_MS if brief else WATCH_TIMEOUT_MS
         wait_ms = max_wait_ms * (0.75 + 0.25 * self._rng.random())
         started_ms = self._call_started_ms = self._clock.now_ms()
         watched = self._source.watch(self.position, wait_ms)
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -26,6 +26,8 @@
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.relays import RelaySelector
 from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE, Member
+from persimmonspur.core.fleet.rollouts.fleet import Rollouts
+from persimmonspur.core.fleet.rollouts.orders import RolloutBounds
 from persimmonspur.core.fleet.routes import RouteTable
 from persimmonspur.core.fleet.selection import ReplicaSelector
 from persimmonspur.entry import events
@@ -38,6 +40,7 @@
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerHandler
 from persimmonspur.entry.relays import LIST_PATIENCE_MS, RelayClient
+from persimmonspur.entry.rollouts import RolloutService
 from persimmonspur.entry.sender import EndpointCodec, EndpointSender
 from persimmonspur.entry.server import Handler, HttpServer
 from persimmonspur.entry.state import StoreSources, StoreState
@@ -143,6 +146,8 @@
         self.pushback = EndpointPushback(self.observer.record_pushback)
         self.quarantine = Quarantine(clock, self._share_crash_report)
         self.sender = EndpointSender(codecs.endpoint, self._get_max_connections, clock, timers)
+        self.rollouts: Rollouts | None = None
+        self.rollout_service = self._build_rollouts()
         self.exchange_context = ExchangeContext(
             clock,
             timers,
@@ -159,6 +164,7 @@
             self.observer.record_decision,
             self.observer.metrics.count_send,
             rng,
+            self.rollouts,
         )
         self.request_handler = RequestHandler(
             self.exchange_context,
@@ -187,6 +193,37 @@
         self._last_share_ms = -SHARE_INTERVAL_MS
         self._register_gauges()
 
+    def _build_rollouts(self) -> RolloutService | None:
+        """Create what moves services to other versions, if the deployment has that."""
+        features, sources = self.settings.features, self._sources
+        if features.exposure_share is None:
+            return None
+        if sources.rollouts is None or sources.order_writer is None:
+            return None
+        bounds = RolloutBounds(
+            features.exposure_share, features.exposure_slack, features.rollback_ms
+        )
+        self.rollouts = Rollouts(
+            bounds,
+            self.state.endpoints,
+            self.selector,
+            lambda rollout, figures: service.report_phase(rollout, figures),
+        )
+        service = RolloutService(
+            self.rollouts,
+            sources.rollouts,
+            sources.order_writer,
+            self.membership,
+            self._relay_client,
+            self.observer,
+            self.clock,
+            self.timers,
+            self._rng,
+            self._is_in_entry_set,
+        )
+        service.add_to(self.state)
+        return service
+
     @property
     def ready(self) -> bool:
         """Whether this instance accepts requests."""
@@ -208,6 +245,8 @@
             self.settings.member.peer_address,
             PeerHandler(self.state.export_state, self.state.relay_handler),
         )
+        if self.rollout_service is not None:
+            self.rollout_service.start(self.heartbeats)
         self._update_limit_shares()
         self.state.on_initialized = self.heartbeats.send
         self.state.start()
@@ -233,6 +272,8 @@
         """Stop feeds, heartbeats and the peer server; idempotent."""
         self.leaving = True
         self.state.stop()
+        if self.rollout_service is not None:
+            self.rollout_service.stop()
         if self.heartbeats is not None:
             self.heartbeats.close()
             self.heartbeats = None
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -179,6 +179,10 @@
     def __init__(self, relays: dict[str, ChangeRelay[Any, Any]]) -> None:
         self._relays = relays
 
+    def add(self, name: str, relay: ChangeRelay[Any, Any]) -> None:
+        """Serve one more feed."""
+        self._relays[name] = relay
+
     def handle(self, request: HttpRequest, respond: Respond) -> Callable[[], None] | None:
         """Handle one poll, or one request for a list."""
         path, _, query = request.target.decode("latin-1").partition("?")
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -22,6 +22,7 @@
 from persimmonspur.core.fleet.messages import Timers
 from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.core.fleet.roles import Member
+from persimmonspur.core.fleet.rollouts.orders import OrderState, RolloutOrder
 from persimmonspur.core.fleet.routes import ClientLimits, RouteTable, RouteTableHolder
 from persimmonspur.entry import events
 from persimmonspur.entry.features import NO_FEATURES, FeatureSettings
@@ -67,15 +68,34 @@
         """Remove a registration."""
 
 
+class OrderWriter(Protocol):
+    """Writes the states of orders to move services to other versions."""
+
+    def write_state(
+        self, order: RolloutOrder, state: OrderState
+    ) -> Result[tuple[RolloutOrder, int], Failure]:
+        """Write a state if the order still has the known revision.
+
+        :returns: the order as the store has it now, with this state or with what another
+            instance wrote before, and the era of the store; ``NOT_FOUND`` if it was removed.
+        """
+
+
 @frozen
 class StoreSources:
-    """Sources of each kind of object in the store, and the registry."""
+    """Sources of each kind of object in the store, and the registry.
+
+    :param rollouts: orders to move services to other versions; used only in deployments that
+        have them.
+    """
 
     configuration: Source[RouteTable]
     endpoints: Source[Endpoint]
     evacuations: Source[str]
     members: Source[Member]
     registry: Registry
+    rollouts: Source[RolloutOrder] | None = None
+    order_writer: OrderWriter | None = None
 
 
 class StoreState:
@@ -189,6 +209,15 @@
         """Version of the configuration in effect; 0 without one."""
         return self.routes.table.version if self.routes.table is not None else 0
 
+    def add_feed(self, feed: Feed[Any], relay: ChangeRelay[Any, Any]) -> None:
+        """Follow one more kind of object.
+
+        :param relay: passes its changes on to other instances.
+        """
+        self.feeds = (*self.feeds, feed)
+        feed.on_store_recovered = self._handle_store_recovery
+        self.relay_handler.add(feed.name, relay)
+
     def start(self) -> None:
         """Start the feeds."""
         for feed in self.feeds:
--- a/src/persimmonspur/entry/wire.py
+++ b/src/persimmonspur/entry/wire.py
@@ -5,6 +5,7 @@
 from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, AccountDirectory
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.position import StorePosition
+from persimmonspur.core.fleet.rollouts.orders import RolloutOrder
 from persimmonspur.core.fleet.routes import ClientLimits, Route, RouteTable, ServiceLimits
 from persimmonspur.entry.relays import ChangesMessage, RelayFormat
 
@@ -71,3 +72,6 @@
 EVACUATION_FORMAT: RelayFormat[str, str] = RelayFormat(
     ChangesMessage[str], lambda name: name, lambda name, clock_offset_ms: name
 )
+ROLLOUT_FORMAT: RelayFormat[RolloutOrder, RolloutOrder] = RelayFormat(
+    ChangesMessage[RolloutOrder], lambda order: order, lambda order, clock_offset_ms: order
+)
--- a/src/persimmonspur/platform/run.py
+++ b/src/persimmonspur/platform/run.py
@@ -35,10 +35,12 @@
     load_entry_settings,
 )
 from persimmonspur.platform.sources import (
+    StoreOrderWriter,
     open_configuration_source,
     open_endpoint_source,
     open_evacuation_source,
     open_member_source,
+    open_rollout_source,
 )
 from persimmonspur.platform.store import INSTANCE_KIND, PlatformStore
 
@@ -178,6 +180,8 @@
         open_evacuation_source(store),
         open_member_source(store),
         StoreInstanceRegistry(store),
+        open_rollout_source(store),
+        StoreOrderWriter(store),
     )
     codec = PlatformCodec()
     codecs = Codecs(codec, codec, headers.PlatformResponseFormat())
--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -184,7 +184,11 @@
         self._observe_era(response)
         if response.status != STATUS_CONFLICT and not 200 <= response.status < 300:
             return Error(_build_status_failure("PUT", path, response.status))
-        return _decode(response.body, StoreObject)
+        read = _decode_object(response.body)
+        if isinstance(read, UnreadableObject):
+            reason = f"store: PUT {path} returned an unreadable object"
+            return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
+        return Ok(read)
 
     def remove(self, kind: str, name: str) -> Result[None, Failure]:
         """Remove an object."""
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -211,6 +211,17 @@
     assert min(after_empty) > feeds.PROBE_TIMEOUT_MS
 
 
+def test_brief_watches_confirm_the_state_often(start_feed):
+    # Guards against a state that counts as unconfirmed during a long watch without changes.
+    source, _, _ = start_feed(
+        Ok(Snapshot({}, at(10))),
+        Ok(Updates((), at(11))),
+        Ok(Updates((), at(12))),
+        watches_briefly=lambda: True,
+    )
+    assert max(source.waits) <= feeds.PROBE_TIMEOUT_MS
+
+
 def test_only_a_call_sent_during_the_outage_is_repeated(start_feed):
     # Guards against feeds that hang while another feed already reaches the store again, and
     # against repeating the calls that will be answered.
--- a/tests/platform/deployments.py
+++ b/tests/platform/deployments.py
@@ -46,10 +46,10 @@
         self.instance = build_instance(self.settings, clock, self.log)
         self.server = None
 
-    def add_searcher(self, identity, service, **fields):
+    def add_searcher(self, identity, service, version="v1", **fields):
         searcher = FakeSearcher(identity, **fields)
         self.searchers[identity] = searcher
-        self.store.put("servers", identity, make_entry(searcher, service))
+        self.store.put("servers", identity, make_entry(searcher, service, version=version))
         return searcher
 
     def configure(self, *routes, version=1, services=(), tenants=None):
