--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -145,33 +145,33 @@
 )
 
 ROLLOUT_CHANGED = define_event(
-    6501,
+    6601,
     "rollout_changed",
     "INFO",
     "rollout of {service} to {target_version} is {phase}: {new_bad} of {new_responses} responses "
     "bad, {old_bad} of {old_responses} of the old version; {reason}",
 )
 ROLLOUT_PROGRESS = define_event(
-    6502,
+    6602,
     "rollout_progress",
     "INFO",
     "rollout of {service} to {target_version} gets a share of {share} after {elapsed_ms} ms: "
     "{new_bad} of {new_responses} responses bad, {old_bad} of {old_responses} of the old version",
 )
 ROLLOUT_STATE_WRITTEN = define_event(
-    6503,
+    6603,
     "rollout_state_written",
     "INFO",
     "wrote {state} for the rollout of {service} to {target_version}",
 )
 ROLLOUT_STATE_NOT_WRITTEN = define_event(
-    6504,
+    6604,
     "rollout_state_not_written",
     "WARNING",
     "cannot write {state} for the rollout of {service} to {target_version}: {reason}",
 )
 ROLLOUT_UNKNOWN = define_event(
-    6505,
+    6605,
     "rollout_unknown",
     "WARNING",
     "peer {peer} reports a rollout of {service} to {target_version} that this instance does not "
