Bound what clients cost that send without end

The HTTP server kept a Python object for each header and trailer line without counting what came after a head, parsed up to 64 KB of pipelined requests at once whether or not the client read the responses, counted its connections nowhere, and closed refused connections with unread data, which resets them before the client has read the reason.

The server is split up. entry/requests parses one connection's requests and bounds heads, empty lines, chunk framing and trailers (which are now dropped instead of being passed on as headers). entry/serverlimits holds a memory budget and a bound on connections, both derived from the machine's limits: over the budget the connection that takes most is refused first, at the bound the longest idle one is closed. entry/clientconnection handles one request at a time, keeps at most one read of further data, and after a refusal drops what still arrives for a bounded time. entry/pacing lets expensive connections take turns. All addresses of a process have these limits. Refusals are counted, and logged in at most one line per second. A head is now counted by its bytes; before, a legal head of lines without a space after the colon was refused below the limit.

--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -136,6 +136,12 @@
     "the request with fingerprint {fingerprint} is {standing}: {crashes} or more endpoints "
     "crashed, {failed_trials} of them in trials",
 )
+CLIENTS_REFUSED = define_event(
+    6404,
+    "clients_refused",
+    "WARNING",
+    "refused requests or connections of clients, by address and reason: {refusals}",
+)
 API_KEY_SHARED = define_event(
     6501,
     "api_key_shared",
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -39,10 +39,17 @@
 from persimmonspur.entry.leaving import LeavingAnnouncer
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerHandler
+from persimmonspur.entry.refusals import RefusalRecorder
 from persimmonspur.entry.relays import LIST_PATIENCE_MS, RelayClient
 from persimmonspur.entry.rollouts import RolloutService
 from persimmonspur.entry.sender import EndpointCodec, EndpointSender
 from persimmonspur.entry.server import Handler, HttpServer
+from persimmonspur.entry.serverlimits import (
+    OPERATIONS_SHARE,
+    PEER_SHARE,
+    AddressShare,
+    build_server_limits,
+)
 from persimmonspur.entry.state import StoreSources, StoreState
 from persimmonspur.entry.timers import LoopTimers
 
@@ -113,6 +120,8 @@
         self.log = log
         self.observer = Observer(log)
         self.timers = timers
+        self._refusals = RefusalRecorder(log, self.observer.metrics, clock)
+        self._servers: list[tuple[str, HttpServer]] = []
         self._sources = sources
         self._rng = rng = random.Random(settings.member.name + str(settings.member.incarnation))
         self.membership = Membership(settings.member)
@@ -244,6 +253,7 @@
         self._peer_server = self.serve(
             self.settings.member.peer_address,
             PeerHandler(self.state.export_state, self.state.relay_handler),
+            PEER_SHARE,
         )
         if self.rollout_service is not None:
             self.rollout_service.start(self.heartbeats)
@@ -253,12 +263,25 @@
         gevent.spawn(self._maintain_registration)
         self.timers.call_later(MAINTENANCE_INTERVAL_MS, self._run_maintenance)
 
-    def serve(self, address: str, handler: Handler) -> HttpServer:
+    def serve(
+        self, address: str, handler: Handler, share: AddressShare = OPERATIONS_SHARE
+    ) -> HttpServer:
         """Start an HTTP server on one address.
 
+        :param share: part of the machine that requests at this address may take.
         :raises OSError: if the address cannot be bound.
         """
-        return HttpServer(address, handler, self.state.get_client_limits, self.clock)
+        get_limits = self.state.get_client_limits
+        server = HttpServer(
+            address,
+            handler,
+            get_limits,
+            self.clock,
+            build_server_limits(share, self.settings.features, get_limits),
+            lambda reason: self._refusals.record(share.name, reason),
+        )
+        self._servers.append((share.name, server))
+        return server
 
     def leave(self) -> None:
         """Stop receiving new clients: report not ready and remove the registration."""
@@ -459,6 +482,7 @@
         self.sender.retain(self._list_sendable_lifetimes())
         self.sender.prepare_connections()
         self.quarantine.expire()
+        self._refusals.write_due()
         self._update_limit_shares()
 
     def _list_sendable_lifetimes(self) -> frozenset[Lifetime]:
@@ -552,6 +576,30 @@
             "scope",
             lambda: {"fullest_service": self.retry_budget.compute_used_ratio(self.clock.now_ms())},
         )
+        metrics.add_gauge(
+            "persimmonspur_client_connections",
+            "Open connections of clients, by kind of address",
+            "address",
+            self._sum_connections,
+        )
+        metrics.add_gauge(
+            "persimmonspur_request_memory_bytes",
+            "Estimated memory of requests being received, queued or handled, by kind of address",
+            "address",
+            self._sum_request_memory,
+        )
+
+    def _sum_connections(self) -> dict[str, float]:
+        counts: dict[str, float] = {}
+        for name, server in self._servers:
+            counts[name] = counts.get(name, 0) + len(server)
+        return counts
+
+    def _sum_request_memory(self) -> dict[str, float]:
+        counts: dict[str, float] = {}
+        for name, server in self._servers:
+            counts[name] = counts.get(name, 0) + server.memory.used_bytes
+        return counts
 
     def _count_endpoints(self) -> dict[str, float]:
         counts = self.state.endpoints.count_states(self.clock.now_ms())
--- a/src/persimmonspur/entry/metrics.py
+++ b/src/persimmonspur/entry/metrics.py
@@ -49,6 +49,7 @@
     :param durations: durations of finished requests by shape.
     :param sends: number of sends to endpoints by kind, and of sends denied by the budget.
     :param store_calls: number of store calls by feed and result.
+    :param refusals: number of refused requests and connections by kind of address and reason.
     :param gauges: name, help text, label and function that reads the current values.
     """
 
@@ -56,6 +57,7 @@
     durations: dict[str, DurationCounts] = field(factory=dict)
     sends: dict[str, int] = field(factory=dict)
     store_calls: dict[Labels, int] = field(factory=dict)
+    refusals: dict[Labels, int] = field(factory=dict)
     gauges: list[tuple[str, str, str, Callable[[], dict[str, float]]]] = field(factory=list)
 
     def count_request(self, shape: str, priority: int, outcome: str, duration_s: float) -> None:
@@ -76,6 +78,11 @@
         key = (feed, result)
         self.store_calls[key] = self.store_calls.get(key, 0) + 1
 
+    def count_refusal(self, address: str, reason: str) -> None:
+        """Count a refused request or connection."""
+        key = (address, reason)
+        self.refusals[key] = self.refusals.get(key, 0) + 1
+
     def add_gauge(
         self, name: str, help_text: str, label: str, read_values: Callable[[], dict[str, float]]
     ) -> None:
@@ -124,6 +131,14 @@
         for labels, count in self.store_calls.items():
             calls.add_metric(labels, count)
         yield calls
+        refusals = CounterMetricFamily(
+            "persimmonspur_refusals",
+            "Requests and connections that were refused before they were handled",
+            labels=["address", "reason"],
+        )
+        for labels, count in self.refusals.items():
+            refusals.add_metric(labels, count)
+        yield refusals
         for name, help_text, label, read_values in self.gauges:
             gauge = GaugeMetricFamily(name, help_text, labels=[label])
             for label_value, value in read_values().items():
--- a/src/persimmonspur/entry/run.py
+++ b/src/persimmonspur/entry/run.py
@@ -12,6 +12,7 @@
 from persimmonspur.entry import events
 from persimmonspur.entry.instance import EntryInstance
 from persimmonspur.entry.server import Handler, HttpServer
+from persimmonspur.entry.serverlimits import CALLER_SHARE
 
 # Time to accept connections after the instance removed its registration, because clients
 # cache resolved addresses.
@@ -49,7 +50,9 @@
         _watch_signal(loop, signal.SIGHUP, on_reload),
     ]
     settings = instance.settings
-    client_server = instance.serve(settings.member.caller_address, instance.request_handler)
+    client_server = instance.serve(
+        settings.member.caller_address, instance.request_handler, CALLER_SHARE
+    )
     other_servers = [instance.serve(listener.address, listener.handler) for listener in listeners]
     reloader = loop.timer(RELOAD_INTERVAL_MS / 1000, RELOAD_INTERVAL_MS / 1000)
     reloader.start(on_reload)
--- a/src/persimmonspur/entry/sockets.py
+++ b/src/persimmonspur/entry/sockets.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -25,6 +26,9 @@
 # Linux reports the smoothed round trip time, in microseconds, at this offset of ``TCP_INFO``.
 ROUND_TRIP_TIME = struct.Struct("I")
 ROUND_TRIP_TIME_OFFSET = 68
+# States of a connection in the first byte of the kernel's ``tcp_info``.
+TCP_CLOSE = 7
+TCP_CLOSE_WAIT = 8
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -81,6 +85,8 @@
     """One connected socket with buffered writes.
 
     :ivar closed: whether the socket was closed on this side.
+    :ivar paused: whether received data is left unread.
+    :ivar receive_bytes: maximum number of bytes that are read in one turn of the event loop.
     """
 
     def __init__(
@@ -88,17 +94,22 @@
         sock: socket.socket,
         on_data: Callable[[bytes], None],
         on_end: Callable[[str], None],
+        on_sent: Callable[[], None] | None = None,
     ) -> None:
         """Start to read.
 
         :param on_data: called with received bytes.
         :param on_end: called once when the connection ends, with an empty string if the
             peer closed it in order and otherwise with the error.
+        :param on_sent: called when buffered bytes have been sent.
         """
         self.sock = sock
         self.closed = False
+        self.paused = False
+        self.receive_bytes = MAX_RECEIVE_BYTES
         self._on_data = on_data
         self._on_end = on_end
+        self._on_sent = on_sent
         self._write_buffer = bytearray()
         self._read_watcher: Any = gevent.get_hub().loop.io(sock.fileno(), READ_EVENT)
         self._read_watcher.start(self._read)
@@ -129,6 +140,37 @@
             self._write_watcher = gevent.get_hub().loop.io(self.sock.fileno(), WRITE_EVENT)
             self._write_watcher.start(self._flush)
 
+    def pause(self) -> None:
+        """Leave received data, and the end of the connection, unread; idempotent."""
+        if not self.closed:
+            self.paused = True
+            self._read_watcher.stop()
+
+    def resume(self) -> None:
+        """Read again; idempotent."""
+        if self.paused and not self.closed:
+            self.paused = False
+            self._read_watcher.start(self._read)
+
+    def peer_closed(self) -> bool:
+        """Return whether the peer closed the connection, also if received data is unread."""
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return True
+        return info[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+    def shutdown_write(self) -> None:
+        """Send the end of the connection; buffered bytes are lost."""
+        # Fails if the peer reset the connection, which the next read reports.
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def drop_unread(self, max_bytes: int) -> None:
+        """Read and drop data that was received, without waiting."""
+        with suppress(OSError):
+            self.sock.recv(max_bytes)
+
     def has_unread(self) -> bool:
         """Return whether received bytes or the end of the connection are unread."""
         try:
@@ -160,6 +202,8 @@
         del self._write_buffer[:sent]
         if not self._write_buffer:
             self._stop_write_watcher()
+            if self._on_sent is not None:
+                self._on_sent()
 
     def _stop_write_watcher(self) -> None:
         if self._write_watcher is not None:
@@ -169,7 +213,7 @@
 
     def _read(self) -> None:
         try:
-            data = self.sock.recv(MAX_RECEIVE_BYTES)
+            data = self.sock.recv(self.receive_bytes)
         except BlockingIOError:
             return
         except OSError as error:
--- a/tests/platform/deployments.py
+++ b/tests/platform/deployments.py
@@ -9,6 +9,7 @@
 from persimmonspur.clock import Clock
 from persimmonspur.entry.eventlog import EventLog, LineWriter
 from persimmonspur.entry.features import NO_FEATURES
+from persimmonspur.entry.serverlimits import CALLER_SHARE
 from persimmonspur.load.processes import find_free_addresses
 from persimmonspur.platform.run import build_instance
 from persimmonspur.platform.settings import EntrySettings
@@ -58,7 +59,7 @@
     def start(self):
         self.instance.start()
         self.server = self.instance.serve(
-            self.settings.caller_address, self.instance.request_handler
+            self.settings.caller_address, self.instance.request_handler, CALLER_SHARE
         )
         gevent.sleep(0.1)
         self._wait_until_initialized()
