--- a/src/persimmonspur/entry/requests.py
+++ b/src/persimmonspur/entry/requests.py
@@ -134,6 +134,7 @@
         self.error: RequestError | None = None
         self.parsed_items = 0
         self._get_limits = get_limits
+        self._limits = get_limits()
         self._clock = clock
         self._on_continue = on_continue
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
@@ -177,6 +178,7 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes."""
+        self._limits = self._get_limits()
         view = memoryview(data)
         while view and self.error is None and self._parser is not None:
             piece = view
@@ -184,7 +186,7 @@
                 # The parser never sees more of a head than is allowed, so a head that is
                 # incomplete afterwards exceeds the limit.
                 received = self._partial.head_bytes if self._partial is not None else 0
-                piece = view[: max(1, self._get_limits().max_header_bytes - received)]
+                piece = view[: max(1, self._limits.max_header_bytes - received)]
             self._feed_piece(piece)
             view = view[len(piece) :]
 
@@ -217,7 +219,7 @@
         :param is_empty: whether the piece consists of empty lines.
         """
         self._empty_bytes = self._empty_bytes + count if is_empty else 0
-        if self._empty_bytes > self._get_limits().max_header_bytes:
+        if self._empty_bytes > self._limits.max_header_bytes:
             self._fail(400, "empty_lines")
 
     def _count_head(self, partial: _PartialRequest, count: int) -> None:
@@ -225,13 +227,13 @@
         partial.head_bytes_final = partial.head_complete
         if partial.head_complete:
             return
-        if partial.head_bytes >= self._get_limits().max_header_bytes:
+        if partial.head_bytes >= self._limits.max_header_bytes:
             self._fail(431, "head")
 
     def _count_framing(self, partial: _PartialRequest, count: int, new_body_bytes: int) -> None:
         partial.framing_bytes += count - new_body_bytes
         partial.idle_framing_bytes = 0 if new_body_bytes else partial.idle_framing_bytes + count
-        max_header_bytes = self._get_limits().max_header_bytes
+        max_header_bytes = self._limits.max_header_bytes
         allowed_bytes = 2 * max_header_bytes + FRAMING_BYTES_PER_BODY_BYTE * len(partial.body)
         if partial.idle_framing_bytes > max_header_bytes or partial.framing_bytes > allowed_bytes:
             self._fail(400, "framing")
@@ -267,7 +269,7 @@
         for name, value in partial.headers:
             lowered = name.lower()
             if lowered == b"content-length":
-                if int(value) > self._get_limits().max_body_bytes:
+                if int(value) > self._limits.max_body_bytes:
                     self._fail(413, "body")
             elif lowered == b"expect" and value.lower() == b"100-continue":
                 expects_continue = True
@@ -280,7 +282,7 @@
         partial = self._partial
         if partial is None or self.error is not None:
             return
-        if len(partial.body) + len(body) > self._get_limits().max_body_bytes:
+        if len(partial.body) + len(body) > self._limits.max_body_bytes:
             self._fail(413, "body")
             return
         partial.body += body
