Refuse responses whose status has no meaning

The parsers of both paths asked only whether a status is below 200: 000 and 099 were taken for interim responses, behind which the request waited until its deadline (504), and 600 and 999 reached the client. A status outside of 100 to 599 is now an unreadable response: the attempt failed and may have run, and the connection is closed. On the product's path an interim response also made the library give the connection back while the final response was awaited, which failed the request; the connection now stays with it.

--- a/src/persimmonspur/adapters/connections.py
+++ b/src/persimmonspur/adapters/connections.py
@@ -9,15 +9,37 @@
 import gevent.socket
 from attrs import define
 from gevent.event import Event
-from geventhttpclient.response import HTTPSocketPoolResponse
+from geventhttpclient.response import HTTPParseError, HTTPResponse, HTTPSocketPoolResponse
 
 _READ_EVENT = 1
+# Other statuses have no meaning: the library takes those below for interim responses.
+MIN_STATUS = 100
+MAX_STATUS = 599
+MIN_FINAL_STATUS = 200
 
 
 class StaleConnectionError(ConnectionError):
     """The endpoint closed an idle connection before anything was sent on it."""
 
 
+class EndpointResponse(HTTPSocketPoolResponse):
+    """Response that is refused if its status has no meaning."""
+
+    def _on_headers_complete(self) -> int | bool | None:
+        status = self.get_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise HTTPParseError(f"not a response: status {status:03}")
+        result: int | bool | None = super()._on_headers_complete()
+        return result
+
+    def _on_message_complete(self) -> None:
+        if self.get_code() >= MIN_FINAL_STATUS:
+            super()._on_message_complete()
+            return
+        # The final response follows on the connection, which the library would give back now.
+        HTTPResponse._on_message_complete(self)
+
+
 @define
 class _IdleConnection:
     sock: gevent.socket.socket
@@ -80,7 +102,7 @@
         except BaseException:
             self.release_socket(sock)
             raise
-        return HTTPSocketPoolResponse(sock, self, method=method)
+        return EndpointResponse(sock, self, method=method)
 
     def record_incarnation(self, sock: gevent.socket.socket, incarnation: str) -> None:
         """Record the endpoint incarnation that responded on a connection."""
--- a/src/persimmonspur/entry/responses.py
+++ b/src/persimmonspur/entry/responses.py
@@ -10,6 +10,9 @@
 
 from persimmonspur.core.fleet.messages import Headers
 
+# Other statuses have no meaning: the library takes those below for interim responses.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # Bytes before the body, interim responses included. A faulty server may send some without end.
 MAX_HEAD_BYTES = 65_536
 
@@ -58,14 +61,19 @@
         return self._in_message
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes, then report the responses that are complete."""
+        """Parse received bytes, then report the responses that are complete.
+
+        Nothing is read after a protocol error.
+        """
+        if self.protocol_error:
+            return
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.protocol_error = "the response switches protocols"
         except httptools.HttpParserError as error:
-            self.protocol_error = f"not a response: {error}"
+            self.protocol_error = self.protocol_error or f"not a response: {error}"
         if not self._head_complete and self._received_bytes > MAX_HEAD_BYTES:
             self.protocol_error = f"the head of a response exceeds {MAX_HEAD_BYTES} bytes"
         elif self._received_bytes > self._max_response_bytes:
@@ -110,6 +118,8 @@
     def on_headers_complete(self) -> None:
         """Finish the header fields (called by the parser)."""
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self.protocol_error = f"not a response: status {status:03}"
         self._head_complete = status >= 200
         if status in (204, 304):
             self._has_framing = True
@@ -123,7 +133,7 @@
         self._in_message = False
         self._head_complete = False
         status = self._parser.get_status_code()
-        if status < 200:
+        if status < 200 or self.protocol_error:
             return
         self._received_bytes = 0
         self._completed.append(
--- a/tests/adapters/test_endpoint_streams.py
+++ b/tests/adapters/test_endpoint_streams.py
@@ -224,3 +224,39 @@
     outcome = search(client, server.endpoint, "q/a/2")
     assert outcome.error is None
     assert outcome.records == [[1, "a"], [2, "b"]]
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+def test_response_with_an_unreadable_status_may_have_run(start, status):
+    # Guards against waiting until the deadline for a response behind one that is taken for an
+    # interim one, and against believing what the rest of an unreadable response says.
+    response = make_response().replace(b" 200 OK", b" " + status + b" Status\r\nx-ran: no")
+
+    def answer(number, sock):
+        sock.sendall(response if number == 0 else make_response())
+        return True
+
+    server = start(answer)
+    client = HttpEndpointClient(Clock())
+    outcome = search(client, server.endpoint)
+    assert outcome.error is ErrorKind.UNREACHABLE and outcome.ran is Ran.UNKNOWN
+    assert status.decode() in outcome.message
+    # The connection is not used again.
+    assert search(client, server.endpoint).error is None
+    assert client._get_pool(server.endpoint).opened_count == 2
+
+
+def test_response_behind_an_interim_one_is_received(start):
+    # Guards against a connection that is given to another request after an interim response.
+    def answer(number, sock):
+        sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        gevent.sleep(0.05)
+        sock.sendall(make_response())
+        return True
+
+    server = start(answer)
+    client = HttpEndpointClient(Clock())
+    for _ in range(2):
+        assert search(client, server.endpoint).error is None
+    pool = client._get_pool(server.endpoint)
+    assert pool.opened_count == 1 and pool.in_use == 0
--- a/tests/entry/test_response_streams.py
+++ b/tests/entry/test_response_streams.py
@@ -75,6 +75,9 @@
     ),
     st.just(b"HTTP/1.1 100 Continue\r\n\r\n"),
     st.just(b"HTTP/1.1 204 No Content\r\nX-Request-Id: other\r\n\r\n"),
+    st.integers(0, 999).map(
+        lambda status: make_response().replace(b" 200 OK", b" %03d Status" % status, 1)
+    ),
     st.binary(min_size=1, max_size=12),
 )
 SPOILERS = st.tuples(st.floats(0.0, 1.0), st.sampled_from(["cut", "drop", "flip", "none"]))
@@ -104,6 +107,7 @@
     elif kind == "flip":
         stream = stream[:position] + bytes([stream[position] ^ 0x20]) + stream[position + 1 :]
     for response in receive(stream, cuts, closed):
+        assert 200 <= response.status <= 599
         if not is_own(response) or response.status != 200:
             continue
         framing = {name.lower() for name, _ in response.headers}
--- a/tests/entry/test_responses.py
+++ b/tests/entry/test_responses.py
@@ -97,3 +97,34 @@
 def test_random_bytes_never_make_a_success(data):
     _, responses = read(b"HTTP/1.1 " + data)
     assert all(response.status < 1000 for response in responses)
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+@pytest.mark.parametrize("end", [b"Content-Length: 0\r\n\r\n", b"\r\n", b"\r\nabc"])
+def test_status_outside_of_the_known_classes_is_unreadable(status, end):
+    # Guards against a status below 200 that is taken for an interim response, after which the
+    # caller waits until its deadline, and against one above 599 that reaches a client.
+    parser, responses = read(b"HTTP/1.1 " + status + b" Status\r\n" + end)
+    assert parser.protocol_error == f"not a response: status {int(status):03}"
+    assert not parser.finish()
+    parser.feed(GOOD)
+    assert responses == []
+
+
+def test_response_before_an_unreadable_one_is_delivered():
+    parser, responses = read(GOOD + b"HTTP/1.1 000 Status\r\n\r\n")
+    assert [response.status for response in responses] == [200]
+    assert parser.protocol_error
+
+
+@given(st.integers(0, 999), st.lists(st.integers(1, 60), max_size=4))
+def test_only_statuses_of_the_known_classes_are_delivered(status, cuts):
+    data = b"HTTP/1.1 %03d Status\r\nX-A: b\r\nContent-Length: 0\r\n\r\n" % status
+    edges = [0, *sorted({cut for cut in cuts if cut < len(data)}), len(data)]
+    parser, responses = read(*(data[start:end] for start, end in itertools.pairwise(edges)))
+    if 200 <= status <= 599:
+        assert [response.status for response in responses] == [status]
+        return
+    assert responses == []
+    # 101 switches protocols, which no request asks for.
+    assert bool(parser.protocol_error) == (status < 100 or status > 599 or status == 101)
