Decide which retries may go to an endpoint that is not warm

Cause: the code, docs/design.md (section 6) and a test let a retry take a replica that is not warm if no warm one is left, while the state machine allowed that to placements only.

Decision: retries and placements go to a cold or warming endpoint only if no warm one is left for the shard, hedges never. Otherwise queries are incomplete while the last replicas warm up; the owner of the endpoint keeps its limit. No change of the code.

Test: the machine now asks of retries what it asked of placements, that no warm replica is left; the owner of an unanswered sub-request does not count for a retry, which avoids it.

--- a/tests/core/requests/test_coordination_machine.py
+++ b/tests/core/requests/test_coordination_machine.py
@@ -198,8 +198,10 @@
         if action.kind is SubRequestKind.FIRST:
             self.firsts += 1
         elif state != "warm":
-            assert action.kind is SubRequestKind.PLACEMENT, f"{action.kind} to a {state} endpoint"
-            assert not self.list_warm_untried(request), "a warm replica was left"
+            # Section 6 of the design: hedges go to warm endpoints only, retries and placements
+            # to others only if no warm one is left for the shard.
+            assert action.kind is not SubRequestKind.HEDGE, f"hedge to a {state} endpoint"
+            assert not self.list_warm_untried(action), "a warm replica was left"
         if action.kind in self.extras:
             assert self.query.repeatable
             self.extras[action.kind] += 1
@@ -216,14 +218,25 @@
         if not self.query.repeatable:
             self.check_single(request.shard)
 
-    def list_warm_untried(self, request):
-        """Replicas that could take a placement before a cold one does."""
-        tried = [a.request.endpoint for a in self.sent if a.request.shard == request.shard]
+    def list_warm_untried(self, action):
+        """Replicas that could take a placement or retry before a cold one does."""
+        request = action.request
+        sent = [other for other in self.sent if other.request.shard == request.shard]
+        tried = [other.request.endpoint for other in sent]
+        silent_owners = []
+        if action.kind is SubRequestKind.RETRY:
+            # A retry beside an overdue sub-request avoids its owner, which may be frozen.
+            silent_owners = [
+                other.owner
+                for other in sent
+                if other.request.id not in self.replies and other.request.id not in self.cancelled
+            ]
         return [
             endpoint.name
             for endpoint in ENDPOINTS
             if request.shard in endpoint.shards
             and endpoint.name not in tried
+            and self.view.endpoints[endpoint.name].owner not in silent_owners
             and self.states[endpoint.name][:2] == ("warm", True)
             and request.snapshot in self.view.endpoints[endpoint.name].snapshots
             and self.view.endpoints[endpoint.name].ejected_until_ms <= self.now_ms
--- a/tests/core/requests/test_query_coordination.py
+++ b/tests/core/requests/test_query_coordination.py
@@ -202,6 +202,26 @@
     assert not harness.sent[1].request.hedge
 
 
+@pytest.mark.parametrize("state", ["cold", "warming"])
+@pytest.mark.parametrize("error", [ErrorKind.OVERLOADED, ErrorKind.ENDPOINT_FAILED])
+def test_a_further_attempt_goes_to_a_cold_replica_only_if_no_warm_one_is_left(state, error):
+    # Guards against placements (after a certain rejection) and retries that load a replica which
+    # can handle little, and against queries that fail while the last replica warms up.
+    ran = Ran.NO if error is ErrorKind.OVERLOADED else Ran.UNKNOWN
+    for seed in range(20):
+        harness = QueryHarness(seed=seed).start()
+        others = {"s0-r0", "s0-r1", "s0-r2"} - {harness.sent[0].request.endpoint}
+        cold = sorted(others)[seed % 2]
+        report(harness.view, cold, 0.0, state=state)
+        while len(harness.sent) < 3 and harness.answer is None:
+            sent_count = len(harness.sent)
+            harness.reply(error=error, ran=ran)
+            while len(harness.sent) == sent_count and harness.answer is None:
+                harness.wake()
+        assert [action.request.endpoint == cold for action in harness.sent] == [False, False, True]
+        assert SubRequestKind.HEDGE not in harness.list_kinds()
+
+
 @pytest.mark.parametrize("repeatable", [True, False])
 def test_a_shard_whose_replicas_all_change_owners_is_tried_again_in_time(repeatable):
     harness = QueryHarness(repeatable=repeatable).start()
