Identify the run of an order, and watch a full shift for longer

Change: reports carry the revision at which the order was seen running. The shift begins with 0.3 of the requests, so that one of three endpoints is fully busy at once, and succeeded is not written before 0.9 of the order's time. Short orders are decided earlier. Requests that hang at old endpoints no longer hold up the end from 0.93 of the time on. Instances outside the entry set follow a complete shift that they hear of. Reasons name routes.

--- a/src/persimmonspur/core/fleet/rollouts/evidence.py
+++ b/src/persimmonspur/core/fleet/rollouts/evidence.py
@@ -138,6 +138,13 @@
             known.counts[digest] = total
             self._add_to_stratum(digest, total.minus(before), now_ms)
 
+    def get_route_name(self, digest: str) -> str:
+        """Return the name of a route, or its digest if this instance has not seen it."""
+        for route, known_digest in self._digests.items():
+            if known_digest == digest != OTHER_ROUTES:
+                return route
+        return digest
+
     def freeze_period(self) -> None:
         """Begin no more periods, because the old version soon has no responses to compare."""
         self._frozen = True
--- a/src/persimmonspur/core/fleet/rollouts/fleet.py
+++ b/src/persimmonspur/core/fleet/rollouts/fleet.py
@@ -78,12 +78,14 @@
     """One order and what this instance has done for it.
 
     :param settled_ms: time of the latest report of each peer that says it left the old version.
+    :param shift_heard_ms: time of the latest report that the traffic shifts.
     :param desired_since_ms: time since which the store should have another state.
     """
 
     rollout: Rollout
     era: int
     settled_ms: dict[str, float] = field(factory=dict)
+    shift_heard_ms: float = float("-inf")
     desired: OrderState = OrderState.NONE
     desired_since_ms: float = 0.0
     next_write_ms: float = 0.0
@@ -285,16 +287,22 @@
             return split.all_old
         if not self._is_confirmed(now_ms):
             return split.all_old
-        return self._select_in_progress(rollout, split, is_first, now_ms)
+        return self._select_in_progress(rollout, split, is_first, item.shift_heard_ms, now_ms)
 
     def _select_in_progress(
-        self, rollout: Rollout, split: _Split, is_first: bool, now_ms: float
+        self, rollout: Rollout, split: _Split, is_first: bool, heard_ms: float, now_ms: float
     ) -> Tiers:
+        """Return the tiers while the verdict is open.
+
+        :param heard_ms: local time of the last report that the traffic shifts.
+        """
         shifting = rollout.phase is Phase.SHIFTING
-        if self._view.own not in self._view.participants:
-            # This instance reports no evidence, and old endpoints may stop at any moment.
-            return (split.old, split.new) if shifting else split.all_old
         share = rollout.compute_share(now_ms)
+        if self._view.own not in self._view.participants:
+            # This instance counts no responses, so it only follows those that do.
+            follows = shifting and now_ms - heard_ms < REPORT_MAX_AGE_MS
+            if not follows or share < 1.0:
+                return split.all_old
         if share >= 1.0:
             return (split.new, split.old)
         if not is_first or not rollout.credit.available:
@@ -378,10 +386,15 @@
                 self.remove_order(service, False, now_ms)
                 continue
             before = item.rollout.phase
-            item.rollout.update(standing, now_ms)
+            item.rollout.update(standing, self._has_capacity(item.rollout), now_ms)
             if item.rollout.phase is not before:
                 self._apply_phase(item, now_ms)
 
+    def _has_capacity(self, rollout: Rollout) -> bool:
+        usable = self._endpoints.usable(rollout.order.service)
+        new = sum(endpoint.version == rollout.target for endpoint in usable)
+        return 2 * new >= len(usable)
+
     def build_reports(self, now_ms: float) -> list[RolloutReport]:
         """Return the reports for the other instances: on orders in progress or just ended."""
         reports = []
@@ -408,6 +421,8 @@
         before = item.rollout.phase
         if not item.rollout.merge_report(sender, incarnation, report, now_ms):
             return True
+        if report.phase == Phase.SHIFTING:
+            item.shift_heard_ms = now_ms
         if report.settled:
             item.settled_ms[sender] = now_ms
         else:
--- a/src/persimmonspur/core/fleet/rollouts/rollout.py
+++ b/src/persimmonspur/core/fleet/rollouts/rollout.py
@@ -10,30 +10,46 @@
 from persimmonspur.core.fleet.rollouts.statistics import Counts, sum_counts
 from persimmonspur.core.fleet.rollouts.traffic import (
     SendCredit,
+    compute_shift_ms,
     compute_shift_share,
 )
 from persimmonspur.core.fleet.rollouts.verdict import find_fault, find_last_doubt, is_doubtful
 
 # The traffic begins to shift after this part of the order's time with enough good responses,
-# and after the second one with any.
+# and with any of them the second part later. Short orders are decided earlier, because it takes
+# this time after the shift until all instances have left the old version and one has written it.
 VERDICT_FRACTION = 0.7
-LATE_VERDICT_FRACTION = 0.78
+MIN_VERDICT_FRACTION = 0.4
+VERDICT_DELAY_FRACTION = 0.08
+COMPLETION_MS = 1_600.0
 MIN_GOOD_RESPONSES = 10
+# Success is not written before this part of the order's time: until then a fault that shows
+# only with all requests can still be undone.
+MIN_END_FRACTION = 0.9
 # An order that has not begun to shift by then is rolled back, so that its state is written by
 # the end of its time.
 GIVE_UP_FRACTION = 0.95
 # Time beyond the end of the order for which a shift may still be completed, which may be held
 # up by a store that does not answer.
 MAX_OVERTIME_MS = 5_000.0
+# From this part of the order's time on, requests that wait at old endpoints no longer hold up
+# the end; an endpoint that hangs would otherwise delay it by the timeout of a route.
+LAST_WAIT_FRACTION = 0.93
 # Delay of the verdict for each rank, so that usually one instance decides.
 RANK_DELAY_MS = 500.0
 # A report about an order that began this long before the one that this instance saw begin is
-# about an earlier order.
+# about an earlier order, unless both saw the same write of its state.
 MAX_START_SKEW_MS = 3_000.0
 # An instance has left the old version after it has sent nothing to it for this time.
 SETTLED_MS = 300.0
 
 
+def compute_verdict_ms(over_ms: float) -> float:
+    """Return the time from an order at which its traffic may begin to shift."""
+    latest_ms = over_ms - compute_shift_ms(over_ms) - COMPLETION_MS
+    return max(MIN_VERDICT_FRACTION * over_ms, min(VERDICT_FRACTION * over_ms, latest_ms))
+
+
 class Phase(StrEnum):
     """Phase of an order at one instance, from its arrival to its end."""
 
@@ -50,6 +66,7 @@
     :param elapsed_ms: time since the order began.
     :param shift_ms: time since the traffic began to shift; -1 before that.
     :param settled: whether the sender has left the old version.
+    :param run_revision: revision at which the sender saw the order run; 0 before that.
     :param begun_ms: the sender's local time at which it began to count.
     :param counts: digest of the route, new responses, bad ones, old responses, bad ones.
     """
@@ -61,6 +78,7 @@
     elapsed_ms: int
     shift_ms: int
     settled: bool
+    run_revision: int
     begun_ms: int
     counts: list[tuple[str, int, int, int, int]]
 
@@ -109,6 +127,7 @@
         self.new_sends = 0
         self.missing = False
         self._seen_from_start = order.state is OrderState.NONE
+        self._run_revision = 0
         self._begun_ms = now_ms
         self._started_ms = now_ms
         self._shift_started_ms = 0.0
@@ -129,6 +148,8 @@
     def adopt_state(self, order: RolloutOrder) -> None:
         """Adopt the state that the store has."""
         self.order = order
+        if order.state is OrderState.RUNNING and not self._run_revision:
+            self._run_revision = order.revision
         if order.state is OrderState.SUCCEEDED:
             self.phase = Phase.SUCCEEDED
         elif order.state is OrderState.ROLLED_BACK:
@@ -169,9 +190,7 @@
         if self.phase is Phase.RUNNING:
             return self.credit.canary_share
         if self.phase is Phase.SHIFTING:
-            return compute_shift_share(
-                self.credit.canary_share, now_ms - self._shift_started_ms, self.order.over_ms
-            )
+            return compute_shift_share(now_ms - self._shift_started_ms, self.order.over_ms)
         return 1.0 if self.phase is Phase.SUCCEEDED else 0.0
 
     def record_sent(self, is_new: bool, is_first: bool, now_ms: float) -> None:
@@ -193,7 +212,12 @@
         """
         if self.phase is not Phase.SHIFTING or self.compute_share(now_ms) < 1.0:
             return False
-        return not old_outstanding and now_ms - self._last_old_send_ms >= SETTLED_MS
+        if self.get_elapsed_ms(now_ms) < MIN_END_FRACTION * self.order.over_ms:
+            return False
+        if now_ms - self._last_old_send_ms < SETTLED_MS:
+            return False
+        is_last = self.get_elapsed_ms(now_ms) >= LAST_WAIT_FRACTION * self.order.over_ms
+        return is_last or not old_outstanding
 
     def evaluate(self, now_ms: float) -> None:
         """Roll back if the evidence shows a fault."""
@@ -210,8 +234,11 @@
             if doubt:
                 self.roll_back(doubt)
 
-    def update(self, standing: Standing, now_ms: float) -> None:
-        """Proceed with time."""
+    def update(self, standing: Standing, has_capacity: bool, now_ms: float) -> None:
+        """Proceed with time.
+
+        :param has_capacity: whether the new version has as many endpoints as the old one.
+        """
         if self.phase in (Phase.ROLLED_BACK, Phase.SUCCEEDED):
             return
         self.evaluate(now_ms)
@@ -225,19 +252,24 @@
             self.roll_back(self._describe_missing_verdict())
             return
         if self.phase is Phase.RUNNING and standing.rank is not None:
-            self._consider_shift(standing, elapsed_ms - standing.rank * RANK_DELAY_MS, now_ms)
+            elapsed_ms -= standing.rank * RANK_DELAY_MS
+            self._consider_shift(standing, has_capacity, elapsed_ms, now_ms)
 
-    def _consider_shift(self, standing: Standing, elapsed_ms: float, now_ms: float) -> None:
-        over_ms = self.order.over_ms
-        if elapsed_ms < VERDICT_FRACTION * over_ms:
+    def _consider_shift(
+        self, standing: Standing, has_capacity: bool, elapsed_ms: float, now_ms: float
+    ) -> None:
+        verdict_ms = compute_verdict_ms(self.order.over_ms)
+        if elapsed_ms < verdict_ms:
             return
         if not standing.connected or not standing.confirmed or self.missing:
             return
         total = sum_counts(self.evidence.compute_totals().values())
         good = total.new - total.new_bad
-        is_late = elapsed_ms >= LATE_VERDICT_FRACTION * over_ms
+        is_late = elapsed_ms >= verdict_ms + VERDICT_DELAY_FRACTION * self.order.over_ms
         if good < (1 if is_late else MIN_GOOD_RESPONSES):
             return
+        if not has_capacity and not is_late:
+            return
         if not is_doubtful(self.evidence):
             self._start_shift(now_ms)
         elif is_late:
@@ -269,6 +301,7 @@
             int(self.get_elapsed_ms(now_ms)),
             int(shift_ms),
             settled,
+            self._run_revision,
             int(self._begun_ms),
             counts,
         )
@@ -283,11 +316,11 @@
         started_ms = now_ms - report.elapsed_ms
         if report.target_version != self.target:
             return False
-        if self._seen_from_start:
-            if started_ms < self._started_ms - MAX_START_SKEW_MS:
-                return False
-        else:
+        same_run = self._run_revision > 0 and report.run_revision == self._run_revision
+        if same_run or not self._seen_from_start:
             self._started_ms = min(self._started_ms, started_ms)
+        elif started_ms < self._started_ms - MAX_START_SKEW_MS:
+            return False
         counts = {digest: Counts(*values) for digest, *values in report.counts}
         self.evidence.merge(sender, (incarnation, report.begun_ms), counts, now_ms)
         if report.phase == Phase.ROLLED_BACK:
--- a/src/persimmonspur/core/fleet/rollouts/traffic.py
+++ b/src/persimmonspur/core/fleet/rollouts/traffic.py
@@ -14,9 +14,11 @@
 # The traffic shifts over this part of the order's time, but no longer than this.
 SHIFT_FRACTION = 0.125
 MAX_SHIFT_MS = 1_500.0
-# During this part of the shift the share rises to this value, and then to all requests. The
-# old version has enough requests until then to compare with.
+# During this part of the shift the share rises between these values, and then to all requests.
+# It begins high enough for one endpoint of three to be as busy as with all requests, so that a
+# fault under load shows early, and the old version has requests to compare with until its end.
 RISE_FRACTION = 0.8
+MIN_RISING_SHARE = 0.3
 MAX_RISING_SHARE = 0.8
 
 
@@ -63,7 +65,7 @@
     return min(MAX_SHIFT_MS, SHIFT_FRACTION * over_ms)
 
 
-def compute_shift_share(canary_share: float, elapsed_ms: float, over_ms: float) -> float:
+def compute_shift_share(elapsed_ms: float, over_ms: float) -> float:
     """Return the share of the new version while the traffic shifts.
 
     :param elapsed_ms: time since the shift began.
@@ -71,4 +73,4 @@
     progress = elapsed_ms / (RISE_FRACTION * compute_shift_ms(over_ms))
     if progress >= 1.0 / RISE_FRACTION:
         return 1.0
-    return canary_share + min(1.0, progress) * (MAX_RISING_SHARE - canary_share)
+    return MIN_RISING_SHARE + min(1.0, progress) * (MAX_RISING_SHARE - MIN_RISING_SHARE)
--- a/src/persimmonspur/core/fleet/rollouts/verdict.py
+++ b/src/persimmonspur/core/fleet/rollouts/verdict.py
@@ -44,7 +44,7 @@
             continue
         p_value = compute_p_value(periods)
         if p_value < SIGNIFICANCE:
-            return _describe(f"route {digest}", route_total, p_value)
+            return _describe(f"route {evidence.get_route_name(digest)}", route_total, p_value)
     every = [counts for periods in strata.values() for counts in periods]
     recent = [counts for periods in strata.values() for counts in periods[-RECENT_PERIODS:]]
     for scope, periods in (("all routes", every), ("all routes lately", recent)):
@@ -99,8 +99,9 @@
     scopes = []
     for digest, part in since.items():
         if not _is_shared_cause(part):
-            scopes.append((f"route {digest}", [totals[digest]]))
-            scopes.append((f"route {digest} since the shift", [latest[digest]]))
+            route = f"route {evidence.get_route_name(digest)}"
+            scopes.append((route, [totals[digest]]))
+            scopes.append((f"{route} since the shift", [latest[digest]]))
     if not _is_shared_cause(sum_counts(since.values())):
         scopes.append(("all routes", list(totals.values())))
         scopes.append(("all routes since the shift", list(latest.values())))
--- a/tests/core/fleet/test_rollouts.py
+++ b/tests/core/fleet/test_rollouts.py
@@ -213,6 +213,55 @@
     assert instance.find_writes() == []
 
 
+def test_instance_outside_the_entry_set_follows_a_shift_that_it_hears_of():
+    # Guards against requests that are lost at old endpoints, which stop without draining.
+    inside, outside = Instance(), Instance()
+    for instance in (inside, outside):
+        instance.list_orders(make_order(OrderState.RUNNING))
+    endpoint = inside.endpoints.get("v2-0")
+    record = AttemptRecord("v2-0", SERVICE, AttemptKind.FIRST, inside.now_ms, 1.0, 0.0, 0)
+    good = EndpointResponse(200, [], b"", "stamp", Ran.YES)
+    for number in range(20):
+        attempt = Attempt(number, endpoint, record, None)
+        inside.rollouts.record_result(attempt, "route", good, inside.now_ms)
+    for _ in range(50):
+        inside.now_ms += 250.0
+        inside.update()
+        outside.now_ms = inside.now_ms
+        outside.update(("a-peer",))
+        if inside.rollouts.get(SERVICE).compute_share(inside.now_ms) == 1.0:
+            break
+        assert outside.select() == [{"v1"}]
+    (report,) = inside.rollouts.build_reports(inside.now_ms)
+    assert outside.rollouts.merge_report("a-peer", 1, report, outside.now_ms)
+    assert outside.select() == [{"v2"}, {"v1"}]
+    outside.now_ms += 1_500.0
+    assert outside.select() == [{"v1"}]
+
+
+def test_reports_on_an_earlier_order_are_ignored():
+    # Guards against a repeated order that ends at once because of the state of the first one.
+    earlier, later = Instance(), Instance()
+    earlier.list_orders(make_order(OrderState.RUNNING, 5))
+    earlier.now_ms += 11_000.0
+    (report,) = earlier.rollouts.build_reports(earlier.now_ms)
+    later.list_orders(make_order(OrderState.NONE, 8))
+    later.rollouts.merge_report("b", 1, report, later.now_ms)
+    assert later.rollouts.get(SERVICE).get_elapsed_ms(later.now_ms) == 0.0
+
+
+def test_instance_that_learns_of_an_order_late_adopts_its_time():
+    # Guards against an instance that ignores the others, and which the others then wait for.
+    early, late = Instance(), Instance()
+    early.list_orders(make_order(OrderState.RUNNING, 5))
+    early.now_ms += 6_000.0
+    late.list_orders(make_order(OrderState.NONE, 4))
+    late.apply(make_order(OrderState.RUNNING, 5))
+    (report,) = early.rollouts.build_reports(early.now_ms)
+    late.rollouts.merge_report("b", 1, report, late.now_ms)
+    assert late.rollouts.get(SERVICE).get_elapsed_ms(late.now_ms) == 6_000.0
+
+
 def test_order_with_a_problem_is_rolled_back_at_once():
     instance = Instance()
     instance.list_orders(make_order(problem="over_s must be a positive number"))
--- a/tests/entry/test_rollouts.py
+++ b/tests/entry/test_rollouts.py
@@ -26,7 +26,7 @@
     counts = [("f" * 8, 2**20, 2**20, 2**20, 2**20)] * MAX_ROUTES
     counts.append((OTHER_ROUTES, 2**20, 2**20, 2**20, 2**20))
     report = RolloutReport(
-        NAME, NAME, "rolled_back", "x" * MAX_REASON_CHARS, 2**30, 2**30, True, 2**50, counts
+        NAME, NAME, "rolled_back", "x" * MAX_REASON_CHARS, 2**30, 2**30, True, 2**50, 2**50, counts
     )
     message = RolloutMessage(NAME, 2**50, [report])
     data = MESSAGE_PREFIX + msgspec.msgpack.encode(message)
