Report to all instances only while a shift or a rollback is recent

Cause: an order that had been rolled back earlier made the reports on other orders go to all instances instead of the entry set, for as long as its object stayed in the store.

Change: the reports that are due decide who gets them. The majority is computed at instances of the entry set only.

--- a/src/persimmonspur/entry/rollouts.py
+++ b/src/persimmonspur/entry/rollouts.py
@@ -168,7 +168,8 @@
     def _update_view(self, confirmed_ms: float, now_ms: float) -> None:
         own = self._membership.own.name
         participants = tuple(member.name for member in self._membership.entry_set(now_ms))
-        connected = self._rollouts.active and self._hears_majority(now_ms)
+        has_part = self._rollouts.active and own in participants
+        connected = has_part and self._hears_majority(now_ms)
         self._rollouts.update(FleetView(own, participants, connected, confirmed_ms), now_ms)
 
     def _hears_majority(self, now_ms: float) -> bool:
@@ -185,13 +186,11 @@
         participants = self._membership.entry_set(now_ms)
         if own not in participants:
             return
-        orders = self._rollouts.list_all()
-        shifting = any(rollout.phase is Phase.SHIFTING for rollout in orders)
-        ended = any(rollout.phase is Phase.ROLLED_BACK for rollout in orders)
-        regular = self._ticks % REPORT_TICKS == 0
-        if regular and (shifting or ended):
+        phases = {report.phase for report in self._rollouts.build_reports(now_ms)}
+        is_regular = self._ticks % REPORT_TICKS == 0
+        if is_regular and phases & {Phase.SHIFTING, Phase.ROLLED_BACK}:
             self._send_reports(self._membership.peers())
-        elif regular or shifting:
+        elif is_regular or Phase.SHIFTING in phases:
             self._send_reports([member for member in participants if member != own])
 
     def _send_reports(self, peers: list[Member]) -> None:
