Tell a fault during the shift from a cause that both versions share

Change: the shift begins with the share at which one of three new endpoints is fully busy, and stays there until all requests move. The old version keeps most requests until then, and a fault must also show in the responses since the shift. The state of decisions that had no test of their own is tested: waiting for old requests, for the reports of others and for the rank, the majority, equal endpoints, one pause, an adopted rollback.

--- a/src/persimmonspur/core/fleet/rollouts/evidence.py
+++ b/src/persimmonspur/core/fleet/rollouts/evidence.py
@@ -99,7 +99,7 @@
         self._stratum_started_ms: dict[str, float] = {}
         self._last_event_ms: dict[str, float] = {}
         self._started_ms = now_ms
-        self._frozen = False
+        self._since_shift: dict[str, Counts] | None = None
 
     def record(
         self, attempt: Attempt, route: str, is_new: bool, result: SendResult, now_ms: float
@@ -133,7 +133,7 @@
             known = self._peers[sender] = _PeerSeries(series)
         for digest, total in counts.items():
             before = known.counts.get(digest, Counts())
-            if total.new < before.new or total.old < before.old:
+            if total == before or total.new < before.new or total.old < before.old:
                 continue
             known.counts[digest] = total
             self._add_to_stratum(digest, total.minus(before), now_ms)
@@ -145,17 +145,24 @@
                 return route
         return digest
 
-    def freeze_period(self) -> None:
-        """Begin no more periods, because the old version soon has no responses to compare."""
-        self._frozen = True
+    def begin_shift(self) -> None:
+        """Count separately from now on, because the share of the new version rises."""
+        self._since_shift = {}
 
-    def get_strata(self) -> dict[str, list[Counts]]:
-        """Return the counts of all instances by route, one for each period."""
+    def get_periods(self) -> dict[str, list[Counts]]:
+        """Return the counts of all instances before the shift, by route and period."""
         return self._strata
 
+    def get_since_shift(self) -> dict[str, Counts]:
+        """Return the counts of all instances since the shift, by route."""
+        return self._since_shift or {}
+
     def compute_totals(self) -> dict[str, Counts]:
         """Return the counts of all instances by route."""
-        return {digest: sum_counts(strata) for digest, strata in self._strata.items()}
+        totals = {digest: sum_counts(strata) for digest, strata in self._strata.items()}
+        for digest, counts in self.get_since_shift().items():
+            totals.setdefault(digest, Counts()).add(counts)
+        return totals
 
     def _get_digest(self, route: str) -> str:
         digest = self._digests.get(route)
@@ -165,10 +172,13 @@
         return digest
 
     def _add_to_stratum(self, digest: str, counts: Counts, now_ms: float) -> None:
+        if self._since_shift is not None:
+            self._since_shift.setdefault(digest, Counts()).add(counts)
+            return
         strata = self._strata.setdefault(digest, [Counts()])
         started_ms = self._stratum_started_ms.setdefault(digest, self._started_ms)
         is_full = strata[-1].old >= MIN_STRATUM_RESPONSES
-        if is_full and not self._frozen and now_ms - started_ms >= MIN_STRATUM_MS:
+        if is_full and now_ms - started_ms >= MIN_STRATUM_MS:
             strata.append(Counts())
             self._stratum_started_ms[digest] = now_ms
         strata[-1].add(counts)
--- a/src/persimmonspur/core/fleet/rollouts/fleet.py
+++ b/src/persimmonspur/core/fleet/rollouts/fleet.py
@@ -1,5 +1,6 @@
 """All orders that this instance knows, and what they mean for its sends to endpoints."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -318,7 +319,7 @@
         Each is then about as busy as it is with all requests, so that a version shows which
         fails only under load.
         """
-        count = max(1, -int(-share * len(endpoints) // 1))
+        count = max(1, math.ceil(share * len(endpoints) - 1e-9))
         get_state = self._selector.get_state
 
         def rank(endpoint: Endpoint) -> tuple[bool, bool, str]:
@@ -386,14 +387,14 @@
                 self.remove_order(service, False, now_ms)
                 continue
             before = item.rollout.phase
-            item.rollout.update(standing, self._has_capacity(item.rollout), now_ms)
+            item.rollout.update(standing, self._count_endpoints(item.rollout), now_ms)
             if item.rollout.phase is not before:
                 self._apply_phase(item, now_ms)
 
-    def _has_capacity(self, rollout: Rollout) -> bool:
+    def _count_endpoints(self, rollout: Rollout) -> tuple[int, int]:
         usable = self._endpoints.usable(rollout.order.service)
         new = sum(endpoint.version == rollout.target for endpoint in usable)
-        return 2 * new >= len(usable)
+        return new, len(usable) - new
 
     def build_reports(self, now_ms: float) -> list[RolloutReport]:
         """Return the reports for the other instances: on orders in progress or just ended."""
--- a/src/persimmonspur/core/fleet/rollouts/rollout.py
+++ b/src/persimmonspur/core/fleet/rollouts/rollout.py
@@ -127,11 +127,11 @@
         self.new_sends = 0
         self.missing = False
         self._seen_from_start = order.state is OrderState.NONE
+        self._new_endpoints = 0
         self._run_revision = 0
         self._begun_ms = now_ms
         self._started_ms = now_ms
         self._shift_started_ms = 0.0
-        self._at_shift: dict[str, Counts] | None = None
         self._last_old_send_ms = now_ms
         self.adopt_state(order)
 
@@ -190,7 +190,9 @@
         if self.phase is Phase.RUNNING:
             return self.credit.canary_share
         if self.phase is Phase.SHIFTING:
-            return compute_shift_share(now_ms - self._shift_started_ms, self.order.over_ms)
+            return compute_shift_share(
+                self._new_endpoints, now_ms - self._shift_started_ms, self.order.over_ms
+            )
         return 1.0 if self.phase is Phase.SUCCEEDED else 0.0
 
     def record_sent(self, is_new: bool, is_first: bool, now_ms: float) -> None:
@@ -223,22 +225,23 @@
         """Roll back if the evidence shows a fault."""
         if not self.in_progress:
             return
-        fault = find_fault(self.evidence, self._at_shift)
+        fault = find_fault(self.evidence)
         if fault:
             self.roll_back(fault)
 
     def check_last(self) -> None:
         """Roll back if the evidence is too doubtful for the end of the old version."""
-        if self.phase is Phase.SHIFTING and self._at_shift is not None:
-            doubt = find_last_doubt(self.evidence, self._at_shift)
+        if self.phase is Phase.SHIFTING:
+            doubt = find_last_doubt(self.evidence)
             if doubt:
                 self.roll_back(doubt)
 
-    def update(self, standing: Standing, has_capacity: bool, now_ms: float) -> None:
+    def update(self, standing: Standing, endpoints: tuple[int, int], now_ms: float) -> None:
         """Proceed with time.
 
-        :param has_capacity: whether the new version has as many endpoints as the old one.
+        :param endpoints: numbers of usable endpoints of the new and of other versions.
         """
+        self._new_endpoints = endpoints[0]
         if self.phase in (Phase.ROLLED_BACK, Phase.SUCCEEDED):
             return
         self.evaluate(now_ms)
@@ -253,6 +256,7 @@
             return
         if self.phase is Phase.RUNNING and standing.rank is not None:
             elapsed_ms -= standing.rank * RANK_DELAY_MS
+            has_capacity = endpoints[0] >= endpoints[1]
             self._consider_shift(standing, has_capacity, elapsed_ms, now_ms)
 
     def _consider_shift(
@@ -278,8 +282,7 @@
     def _start_shift(self, started_ms: float) -> None:
         self.phase = Phase.SHIFTING
         self._shift_started_ms = started_ms
-        self._at_shift = self.evidence.compute_totals()
-        self.evidence.freeze_period()
+        self.evidence.begin_shift()
 
     def _describe_missing_verdict(self) -> str:
         total = sum_counts(self.evidence.compute_totals().values())
--- a/src/persimmonspur/core/fleet/rollouts/traffic.py
+++ b/src/persimmonspur/core/fleet/rollouts/traffic.py
@@ -14,12 +14,11 @@
 # The traffic shifts over this part of the order's time, but no longer than this.
 SHIFT_FRACTION = 0.125
 MAX_SHIFT_MS = 1_500.0
-# During this part of the shift the share rises between these values, and then to all requests.
-# It begins high enough for one endpoint of three to be as busy as with all requests, so that a
-# fault under load shows early, and the old version has requests to compare with until its end.
-RISE_FRACTION = 0.8
-MIN_RISING_SHARE = 0.3
-MAX_RISING_SHARE = 0.8
+# During the shift one of this many new endpoints gets its part of all requests, so that a fault
+# under load shows while the old version has enough requests to compare with.
+ENDPOINTS_PER_LOADED = 3
+# Share during the shift to a single endpoint.
+MAX_SHIFT_SHARE = 0.5
 
 
 class SendCredit:
@@ -65,12 +64,13 @@
     return min(MAX_SHIFT_MS, SHIFT_FRACTION * over_ms)
 
 
-def compute_shift_share(elapsed_ms: float, over_ms: float) -> float:
+def compute_shift_share(endpoints: int, elapsed_ms: float, over_ms: float) -> float:
     """Return the share of the new version while the traffic shifts.
 
+    :param endpoints: number of endpoints of the new version.
     :param elapsed_ms: time since the shift began.
     """
-    progress = elapsed_ms / (RISE_FRACTION * compute_shift_ms(over_ms))
-    if progress >= 1.0 / RISE_FRACTION:
+    if elapsed_ms >= compute_shift_ms(over_ms):
         return 1.0
-    return MIN_RISING_SHARE + min(1.0, progress) * (MAX_RISING_SHARE - MIN_RISING_SHARE)
+    loaded = max(1, endpoints // ENDPOINTS_PER_LOADED)
+    return min(MAX_SHIFT_SHARE, loaded / max(1, endpoints))
--- a/tests/core/fleet/test_rollout_bounds.py
+++ b/tests/core/fleet/test_rollout_bounds.py
@@ -74,7 +74,7 @@
     assert failed <= 0.05 * seeds
 
 
-@pytest.mark.parametrize("begin_ms", [1_500.0, 4_000.0, 7_000.0])
+@pytest.mark.parametrize("begin_ms", [1_500.0, 4_000.0, 7_000.0, 8_600.0])
 def test_cause_that_both_versions_share_rolls_nothing_back(begin_ms):
     # Guards against a rollback because of a failure that the old version has as well.
     def shared(fleet, elapsed_ms):
--- a/tests/core/fleet/test_rollouts.py
+++ b/tests/core/fleet/test_rollouts.py
@@ -67,9 +67,8 @@
             )
             self.endpoints.put(evolve(endpoint, **fields))
 
-    def update(self, participants=("a",), confirmed_ms=None):
-        confirmed_ms = self.now_ms if confirmed_ms is None else confirmed_ms
-        self.rollouts.update(FleetView("a", participants, True, confirmed_ms), self.now_ms)
+    def update(self, participants=("a",), connected=True):
+        self.rollouts.update(FleetView("a", participants, connected, self.now_ms), self.now_ms)
 
     def list_orders(self, *orders, era=1, recovering=False):
         named = {order.service: order for order in orders}
@@ -83,6 +82,29 @@
         tiers = self.rollouts.select_candidates(SERVICE, usable, is_first, self.now_ms)
         return [{endpoint.version for endpoint in tier} for tier in tiers]
 
+    def record(self, identity, count=1, status=200, took_ms=5.0):
+        """Record responses of an endpoint."""
+        endpoint = self.endpoints.get(identity)
+        for number in range(count):
+            record = AttemptRecord(
+                identity, SERVICE, AttemptKind.FIRST, self.now_ms - took_ms, 1.0, 0.0, 0
+            )
+            response = EndpointResponse(status, [], b"", "stamp", Ran.YES)
+            attempt = Attempt(number, endpoint, record, None)
+            self.rollouts.record_result(attempt, "route", response, self.now_ms)
+
+    def run(self, duration_ms, **view):
+        """Let time pass, updating as often as an instance does."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 250.0
+            self.update(**view)
+
+    def count(self):
+        """Return the responses of the new version, and how many are bad."""
+        totals = self.rollouts.get(SERVICE).evidence.compute_totals().values()
+        return sum(part.new for part in totals), sum(part.new_bad for part in totals)
+
     def find_writes(self):
         return [write.state for write in self.rollouts.find_due_writes(self.now_ms)]
 
@@ -218,12 +240,7 @@
     inside, outside = Instance(), Instance()
     for instance in (inside, outside):
         instance.list_orders(make_order(OrderState.RUNNING))
-    endpoint = inside.endpoints.get("v2-0")
-    record = AttemptRecord("v2-0", SERVICE, AttemptKind.FIRST, inside.now_ms, 1.0, 0.0, 0)
-    good = EndpointResponse(200, [], b"", "stamp", Ran.YES)
-    for number in range(20):
-        attempt = Attempt(number, endpoint, record, None)
-        inside.rollouts.record_result(attempt, "route", good, inside.now_ms)
+    inside.record("v2-0", 20)
     for _ in range(50):
         inside.now_ms += 250.0
         inside.update()
@@ -243,11 +260,119 @@
     # Guards against a repeated order that ends at once because of the state of the first one.
     earlier, later = Instance(), Instance()
     earlier.list_orders(make_order(OrderState.RUNNING, 5))
-    earlier.now_ms += 11_000.0
+    earlier.now_ms += 12_000.0
+    earlier.update()
     (report,) = earlier.rollouts.build_reports(earlier.now_ms)
+    assert report.phase == Phase.ROLLED_BACK
     later.list_orders(make_order(OrderState.NONE, 8))
     later.rollouts.merge_report("b", 1, report, later.now_ms)
     assert later.rollouts.get(SERVICE).get_elapsed_ms(later.now_ms) == 0.0
+    assert later.rollouts.get(SERVICE).phase is Phase.PENDING
+
+
+def test_rollback_of_another_instance_is_adopted():
+    # Guards against an instance that exposes its requests until it has evidence of its own.
+    first, second = Instance(), Instance()
+    for instance in (first, second):
+        instance.list_orders(make_order(OrderState.RUNNING, 5))
+    first.record("v1-0", 300)
+    first.record("v2-0", 8, status=500)
+    (report,) = first.rollouts.build_reports(first.now_ms)
+    second.rollouts.merge_report("b", 1, report, second.now_ms)
+    assert second.select() == [{"v1"}]
+    assert "8 of 8" not in second.changes[-1]["reason"]
+    assert second.changes[-1]["reason"].startswith("route route: 3 of 3")
+
+
+def test_responses_delayed_by_one_pause_count_once():
+    # Guards against a rollback because one endpoint of the new version pauses once.
+    instance = Instance()
+    instance.list_orders(make_order(OrderState.RUNNING))
+    instance.record("v1-0", 20)
+    instance.record("v2-0", 6, took_ms=250.0)
+    assert instance.count() == (1, 1)
+    instance.now_ms += 200.0
+    instance.record("v2-0", 1, took_ms=250.0)
+    assert instance.count() == (2, 2)
+
+
+def shift(**view):
+    """Return an instance whose requests all go to the new version."""
+    instance = Instance()
+    instance.list_orders(make_order(OrderState.RUNNING, 5))
+    instance.record("v2-0", 20)
+    instance.run(11_000.0, **view)
+    return instance
+
+
+def test_success_waits_for_requests_at_old_endpoints():
+    # Guards against requests that are lost because old endpoints stop without draining.
+    instance = shift()
+    instance.rollouts._selector.record_sent("v1-0", 1, instance.now_ms)
+    assert instance.find_writes() == []
+    instance.rollouts._selector.record_response("v1-0", 1, 10.0, False, instance.now_ms)
+    assert instance.find_writes() == [OrderState.SUCCEEDED]
+
+
+def test_success_waits_for_a_recent_report_of_each_instance():
+    # Guards against old endpoints that stop while another instance still sends to them.
+    view = {"participants": ("a", "b")}
+    instance = shift(**view)
+    assert instance.find_writes() == []
+    (report,) = instance.rollouts.build_reports(instance.now_ms)
+    report.settled = False
+    instance.rollouts.merge_report("b", 1, report, instance.now_ms)
+    assert instance.find_writes() == []
+    report.settled = True
+    instance.rollouts.merge_report("b", 1, report, instance.now_ms)
+    assert instance.find_writes() == [OrderState.SUCCEEDED]
+    instance.run(1_500.0, **view)
+    assert instance.find_writes() == []
+
+
+def test_instance_without_most_of_the_others_neither_shifts_nor_writes_success():
+    instance = shift()
+    instance.update(connected=False)
+    assert instance.find_writes() == []
+    instance = shift(connected=False)
+    assert instance.rollouts.get(SERVICE).phase is Phase.RUNNING
+
+
+def test_writer_that_does_not_rank_first_waits():
+    # Guards against all instances writing each state at once.
+    instance = Instance()
+    instance.update(("b", "a"))
+    instance.list_orders(make_order())
+    assert instance.find_writes() == []
+    instance.now_ms += 1_900.0
+    assert instance.find_writes() == []
+    instance.now_ms += 200.0
+    assert instance.find_writes() == [OrderState.RUNNING]
+
+
+def test_shift_waits_for_as_many_endpoints_as_the_old_version_has():
+    # Guards against a shift to endpoints that are still starting, which overloads the others.
+    instance = Instance(("v1",))
+    instance.put("v2", 1)
+    instance.list_orders(make_order(OrderState.RUNNING))
+    instance.record("v2-0", 20)
+    instance.run(9_000.0)
+    assert instance.rollouts.get(SERVICE).phase is Phase.RUNNING
+    instance.put("v2", 2)
+    instance.run(250.0)
+    assert instance.rollouts.get(SERVICE).phase is Phase.SHIFTING
+
+
+def test_version_that_was_rolled_back_stays_barred():
+    # Guards against a version that is taken for one without an order after a while.
+    instance = Instance()
+    instance.list_orders(make_order(OrderState.ROLLED_BACK, 2))
+    for _ in range(3):
+        assert instance.select() == [{"v1"}]
+        instance.now_ms += UNORDERED_HOLD_MS
+        instance.update()
+    instance.put("v1", draining=True)
+    assert instance.select() == [set()]
 
 
 def test_instance_that_learns_of_an_order_late_adopts_its_time():
@@ -275,8 +400,9 @@
     instance = Instance()
     instance.list_orders(make_order(OrderState.RUNNING))
     instance.list_orders()
-    instance.now_ms += 10 * UNORDERED_HOLD_MS
-    assert instance.select() == [{"v1"}]
+    for _ in range(3):
+        assert instance.select() == [{"v1"}]
+        instance.now_ms += UNORDERED_HOLD_MS
     assert instance.find_writes() == []
 
 
