--- a/src/persimmonspur/core/fleet/rollouts/verdict.py
+++ b/src/persimmonspur/core/fleet/rollouts/verdict.py
@@ -19,8 +19,11 @@
 # Fewer bad responses than this are no evidence, except before the version takes over.
 MIN_BAD_RESPONSES = 3
 # While the traffic shifts, a fault must also show in the responses since the shift with this
-# significance. Otherwise it may be a cause that both versions share.
+# significance. Otherwise it may be a cause that both versions share. With fewer responses of the
+# old version since the shift than the second number, that cannot be told. In simulated time 0.05
+# rolled back 12 instead of 5 of 60 good versions for a disturbance 0.4 s into the shift.
 SHARED_CAUSE_SIGNIFICANCE = 0.02
+MIN_OLD_SINCE_SHIFT = 10
 # Latest periods that are also tested alone, since a version that turns bad later has good
 # responses before that.
 RECENT_PERIODS = 2
@@ -85,6 +88,8 @@
     if not since:
         return ""
     shows_in_all = _shows_since_shift(since.values())
+    if sum_counts(since.values()).old < MIN_OLD_SINCE_SHIFT:
+        shows_in_all = True
     totals = evidence.compute_totals()
     latest = {}
     scopes = []
