Add persimmonspur config check

Operators could learn of a mistake in the platform's configuration only from instances, one field at a time, and not at all of routes that can never match.

--- a/src/persimmonspur/cli/application.py
+++ b/src/persimmonspur/cli/application.py
@@ -8,6 +8,7 @@
 from persimmonspur.cli.commands.apply import ApplyCommand
 from persimmonspur.cli.commands.bring_back import ReturnCommand
 from persimmonspur.cli.commands.check import CheckCommand
+from persimmonspur.cli.commands.config_check import ConfigCheckCommand
 from persimmonspur.cli.commands.demo import DemoCommand
 from persimmonspur.cli.commands.drain import DrainCommand
 from persimmonspur.cli.commands.events import EventsCommand
@@ -24,6 +25,7 @@
     application = Application("persimmonspur", __version__)
     application.add(DemoCommand())
     application.add(CheckCommand())
+    application.add(ConfigCheckCommand())
     application.add(ApplyCommand())
     application.add(ShowCommand())
     application.add(StatusCommand())
--- /dev/null
+++ b/src/persimmonspur/platform/configcheck/__init__.py
@@ -0,0 +1,1 @@
+"""Check of a configuration document before it is written to the platform's store."""
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -128,6 +128,11 @@
     target_version: str
 
 
+# Names of the configuration's parts outside of this module.
+ConfigurationDocument = _Configuration
+RouteDocument = _Route
+
+
 class ObjectMeta(msgspec.Struct):
     """Metadata of an object in the store."""
 
