Quotas of client accounts over all instances

An account could send any number of requests. Where an account has rate_per_s, endpoints now get no more of its requests in a window than the bounds allow, over all instances together; the rest gets 429 with Retry-After.

Tokens arise from shares that the expected relays grant to the entry set as each sees it. A relay never grants more than its part, a larger share waits until the former holder has stopped, and an instance without the grants of a majority has none, so the sum keeps the bound whatever the views are. Instances pass tokens to those that ask for them and deduct them first; late, repeated and unexpected replies are dropped.

--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -106,6 +106,11 @@
         """Whether the request was answered or its client disconnected."""
         return self._done
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request was sent to any endpoint."""
+        return bool(self._attempts)
+
     def start(self) -> None:
         """Send to every service, or reject the request if too few have a usable endpoint."""
         self._guard.begin()
--- a/src/persimmonspur/core/fleet/members.py
+++ b/src/persimmonspur/core/fleet/members.py
@@ -53,6 +53,8 @@
 class Membership:
     """Registered instances and their liveness as observed by this instance.
 
+    :ivar listed: whether the registered instances were read from the store.
+
     Every instance knows all others by name, but only relays send heartbeats periodically.
     Each instance selects the relays on its own, by a ranking that is the same everywhere,
     among the instances that are not silent and last announced that they are ready. An
@@ -63,6 +65,7 @@
         self.own = own
         self._own_ready = False
         self._states: dict[str, MemberLiveness] = {}
+        self.listed = False
         self._relays: list[Member] = []
         self._relays_selected_ms: float | None = None
 
@@ -92,6 +95,7 @@
 
         :param names: names of the registered instances.
         """
+        self.listed = True
         for name, state in list(self._states.items()):
             if name in names:
                 continue
@@ -155,6 +159,18 @@
         """Return the relays that would be chosen if all registered instances lived."""
         return choose_relays([self.own, *self.peers()])
 
+    def find_peer(self, name: str) -> Member | None:
+        """Return another registered instance by its name."""
+        state = self._states.get(name)
+        return state.member if state is not None else None
+
+    def is_heard(self, name: str, now_ms: float) -> bool:
+        """Return whether a peer is ready and not silent."""
+        state = self._states.get(name)
+        if state is None or not state.has_heartbeat or not state.ready:
+            return False
+        return not state.is_silent(now_ms)
+
     def is_relay(self, now_ms: float) -> bool:
         """Return whether this instance is a relay."""
         return any(relay.name == self.own.name for relay in self.relays(now_ms))
--- a/src/persimmonspur/core/fleet/roles.py
+++ b/src/persimmonspur/core/fleet/roles.py
@@ -67,6 +67,21 @@
     return relays
 
 
+def weigh_relays(relays: Iterable[Member]) -> dict[str, float]:
+    """Return the weight of each relay; the relays of each failure domain weigh the same.
+
+    :returns: weights by name in the given order, with the sum 1.
+    """
+    by_domain: dict[str, list[str]] = {}
+    weights: dict[str, float] = {}
+    for relay in relays:
+        by_domain.setdefault(relay.failure_domain, []).append(relay.name)
+        weights[relay.name] = 0.0
+    for names in by_domain.values():
+        weights.update(dict.fromkeys(names, 1 / (len(by_domain) * len(names))))
+    return weights
+
+
 def choose_entry_set(members: Iterable[Member], size: int = ENTRY_SET_SIZE) -> list[Member]:
     """Choose the instances that clients are directed to.
 
--- a/src/persimmonspur/entry/eventlog.py
+++ b/src/persimmonspur/entry/eventlog.py
@@ -18,6 +18,8 @@
 # Rate limits for events about single requests; failures have a limit of their own.
 ROUTINE_LINES_PER_S = 20.0
 FAILURE_LINES_PER_S = 100.0
+# Clients cause refusals at any rate, so they have a limit of their own.
+REFUSAL_LINES_PER_S = 5.0
 FLUSH_INTERVAL_MS = 50.0
 MAX_WRITE_BYTES = 16_384
 
@@ -123,6 +125,7 @@
         self._writer = writer
         self._routine_limiter = LineRateLimiter(ROUTINE_LINES_PER_S, clock)
         self._failure_limiter = LineRateLimiter(FAILURE_LINES_PER_S, clock)
+        self._refusal_limiter = LineRateLimiter(REFUSAL_LINES_PER_S, clock)
         logger.remove()
         logger.add(writer.write, level=level, format="{message}")
 
@@ -132,16 +135,23 @@
             self._write(event, fields)
 
     def record_request(
-        self, event: EventType, failed: bool, build_fields: Callable[[], dict[str, Any]]
+        self,
+        event: EventType,
+        failed: bool,
+        build_fields: Callable[[], dict[str, Any]],
+        refused: bool = False,
     ) -> None:
         """Write one event about a single request within the rate limit.
 
         :param failed: whether the request, or a step of it, failed or was late.
         :param build_fields: returns the fields; not called for a line that is suppressed.
+        :param refused: whether it was refused for a reason that its client can repeat at will.
         """
         if not self._is_enabled(event):
             return
         limiter = self._failure_limiter if failed else self._routine_limiter
+        if refused:
+            limiter = self._refusal_limiter
         if not limiter.try_acquire():
             return
         fields = build_fields()
--- a/src/persimmonspur/entry/events.py
+++ b/src/persimmonspur/entry/events.py
@@ -149,6 +149,18 @@
     "configuration {version} gives one API key to accounts {owner} and {other}; "
     "it belongs to {owner}",
 )
+QUOTA_EXCEEDED = define_event(
+    6502,
+    "quota_exceeded",
+    "INFO",
+    "account {account} exceeded its quota: {rejected} requests rejected at this instance",
+)
+QUOTA_SHARE_CHANGED = define_event(
+    6503,
+    "quota_share_changed",
+    "INFO",
+    "this instance accrues a share of the quotas: {has_share}",
+)
 
 ROLLOUT_CHANGED = define_event(
     6601,
--- a/src/persimmonspur/entry/handlers.py
+++ b/src/persimmonspur/entry/handlers.py
@@ -3,15 +3,21 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from attrs import evolve, frozen
+from attrs import evolve, field, frozen
 
-from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, AccountDirectory
+from persimmonspur.core.fleet.accounts import NO_ACCOUNTS, Account, AccountDirectory
 from persimmonspur.core.fleet.context import ExchangeContext
-from persimmonspur.core.fleet.exchange import Exchange
+from persimmonspur.core.fleet.exchange import (
+    MIN_SEND_TIMEOUT_MS,
+    RESPONSE_MARGIN_MS,
+    Exchange,
+)
 from persimmonspur.core.fleet.freshness import ConfigurationStanding
 from persimmonspur.core.fleet.messages import ClientRequest, ClientResponse, Headers
+from persimmonspur.core.fleet.quotas import Verdict
 from persimmonspur.core.fleet.routes import Route, RouteTable, RouteTableHolder, WeightedRotation
 from persimmonspur.entry.observer import FinishedRequest
+from persimmonspur.entry.quotas import QuotaGate, WaitingRequest
 from persimmonspur.entry.server import HttpRequest, Respond, ServerResponse
 
 UNCONFIGURED_RETRY_AFTER_MS = 500.0
@@ -47,6 +53,23 @@
     is_challenge: bool = False
 
 
+@frozen(eq=False)
+class _RoutedRequest:
+    """A request that is to be sent to endpoints.
+
+    :param services: one service per shard of a gather, or the one service of the route.
+    :param taken_ms: local time at which it took a token of its account's quota; ``None``
+        without a quota.
+    """
+
+    request: ClientRequest
+    respond: Respond
+    table: RouteTable
+    route: Route
+    services: tuple[str, ...]
+    taken_ms: float | None = field(default=None)
+
+
 _UNCONFIRMED = _Refusal(503, "unconfirmed", UNCONFIRMED_RETRY_AFTER_MS)
 
 
@@ -60,18 +83,21 @@
         codec: ClientCodec,
         on_finished: OnFinished,
         judge_configuration: Callable[[], ConfigurationStanding],
+        quotas: QuotaGate,
     ) -> None:
         """Create a handler for the routes in a holder.
 
         :param on_finished: called when a request ended.
         :param judge_configuration: returns how far the table in the holder may be relied on;
             called where the configuration has client accounts.
+        :param quotas: admits requests within the quotas of their accounts.
         """
         self._exchange_context = exchange_context
         self._routes = routes
         self._codec = codec
         self._on_finished = on_finished
         self._judge_configuration = judge_configuration
+        self._quotas = quotas
         self._rotation = WeightedRotation()
         self._running: set[Exchange] = set()
         self._drain_deadline_ms: float | None = None
@@ -79,8 +105,8 @@
 
     @property
     def running(self) -> int:
-        """Number of requests in progress."""
-        return len(self._running)
+        """Number of requests in progress, those included that wait for their quota."""
+        return len(self._running) + self._quotas.waiting
 
     def start_draining(self, deadline_ms: float) -> None:
         """Give requests that arrive from now on only the time until a deadline.
@@ -95,6 +121,7 @@
 
     def end_running(self) -> None:
         """Answer the requests in progress with what is known, before the process exits."""
+        self._quotas.reject_waiting()
         for exchange in list(self._running):
             exchange.end_now()
 
@@ -115,20 +142,91 @@
             self._refuse(client_request, respond, refusal, table)
             return None
         assert table is not None and route is not None
+        routed = _RoutedRequest(client_request, respond, table, route, services)
+        account = client_request.account
+        if account is None or not account.rate_per_s:
+            return self._start(routed)
+        return self._start_within_quota(routed, account)
+
+    def _start_within_quota(
+        self, routed: _RoutedRequest, account: Account
+    ) -> Callable[[], None] | None:
+        """Send a request once it has a token of its account's quota, or reject it."""
+        on_disconnect: Callable[[], None] | None = None
+
+        def end_wait(admitted: bool) -> None:
+            nonlocal on_disconnect
+            on_disconnect = None
+            if admitted:
+                on_disconnect = self._start(self._record_token(routed))
+            else:
+                self._reject_over_quota(routed, account)
+
+        acquired = self._quotas.acquire(account, self._compute_wait_ms(routed), end_wait)
+        if acquired is Verdict.ADMITTED:
+            return self._start(self._record_token(routed))
+        if not isinstance(acquired, WaitingRequest):
+            self._reject_over_quota(routed, account)
+            return None
+        waiting = acquired
+
+        def stop_waiting() -> None:
+            self._quotas.cancel(waiting)
+            response = ClientResponse(0, [], b"", "client_left")
+            self._record_end(routed, response)
+
+        on_disconnect = stop_waiting
+        return lambda: on_disconnect() if on_disconnect is not None else None
+
+    def _record_token(self, routed: _RoutedRequest) -> _RoutedRequest:
+        return evolve(routed, taken_ms=self._exchange_context.clock.now_ms())
+
+    def _compute_wait_ms(self, routed: _RoutedRequest) -> float:
+        """Return the time for which a request can wait and still be sent before its deadline."""
+        timeout_ms = routed.route.timeout_ms
+        if routed.request.timeout_ms is not None:
+            timeout_ms = min(timeout_ms, routed.request.timeout_ms)
+        elapsed_ms = self._exchange_context.clock.now_ms() - routed.request.arrived_ms
+        return timeout_ms - elapsed_ms - RESPONSE_MARGIN_MS - MIN_SEND_TIMEOUT_MS
+
+    def _reject_over_quota(self, routed: _RoutedRequest, account: Account) -> None:
+        refusal = _Refusal(429, "quota", self._quotas.get_retry_after_ms(account))
+        self._refuse(routed.request, routed.respond, refusal, routed.table)
+
+    def _record_end(self, routed: _RoutedRequest, response: ClientResponse) -> None:
+        duration_ms = self._exchange_context.clock.now_ms() - routed.request.arrived_ms
+        self._on_finished(
+            FinishedRequest(
+                routed.request, routed.route, routed.table.version, response, duration_ms
+            )
+        )
+
+    def _return_token(self, routed: _RoutedRequest) -> None:
+        """Return the token of a request that was not sent to any endpoint."""
+        if routed.taken_ms is None or routed.request.account is None:
+            return
+        self._quotas.put_back(routed.request.account, routed.taken_ms)
+
+    def _start(self, routed: _RoutedRequest) -> Callable[[], None] | None:
+        """Send a request to endpoints."""
 
         def record_end(response: ClientResponse) -> None:
             self._running.discard(exchange)
-            duration_ms = self._exchange_context.clock.now_ms() - client_request.arrived_ms
-            self._on_finished(
-                FinishedRequest(client_request, route, table.version, response, duration_ms)
-            )
+            if not exchange.sent:
+                self._return_token(routed)
+            self._record_end(routed, response)
 
         def send_response(response: ClientResponse) -> None:
             record_end(response)
-            respond(ServerResponse(response.status, response.headers, response.body))
+            routed.respond(ServerResponse(response.status, response.headers, response.body))
 
         exchange = Exchange(
-            self._exchange_context, table, route, services, client_request, send_response
+            self._exchange_context,
+            routed.table,
+            routed.route,
+            routed.services,
+            routed.request,
+            send_response,
         )
         self._running.add(exchange)
 
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -23,6 +23,7 @@
 from persimmonspur.core.fleet.messages import TimerHandle
 from persimmonspur.core.fleet.pushback import EndpointPushback
 from persimmonspur.core.fleet.quarantine import CrashReport, Quarantine, Standing
+from persimmonspur.core.fleet.quotas import Quotas
 from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
 from persimmonspur.core.fleet.relays import RelaySelector
 from persimmonspur.core.fleet.roles import ENTRY_SET_SIZE, Member
@@ -39,6 +40,7 @@
 from persimmonspur.entry.leaving import LeavingAnnouncer
 from persimmonspur.entry.observer import Observer
 from persimmonspur.entry.peerstate import PeerHandler
+from persimmonspur.entry.quotas import QuotaGate, ShareMessage, TokenReply, TokenRequest
 from persimmonspur.entry.refusals import RefusalRecorder
 from persimmonspur.entry.relays import LIST_PATIENCE_MS, RelayClient
 from persimmonspur.entry.rollouts import RolloutService
@@ -69,6 +71,9 @@
 STALL_THRESHOLD_MS = 300.0
 # An older confirmation of the configuration is not announced: it helps no peer.
 MAX_ANNOUNCED_AGE_MS = 60_000.0
+# Numbers of requests for tokens start at the incarnation, in milliseconds, times this, so that
+# no two incarnations of an instance use the same ones.
+ASKS_PER_MS = 1_000
 
 
 @frozen
@@ -138,7 +143,7 @@
             clock,
             timers,
             rng,
-            self._drop_removed_routes,
+            self._apply_table,
             self._relay_client,
             self._is_in_entry_set,
             settings.features,
@@ -175,12 +180,27 @@
             rng,
             self.rollouts,
         )
+        features = settings.features
+        self.quotas = QuotaGate(
+            Quotas(
+                features.quota_window_ms,
+                features.quota_overshoot,
+                features.quota_slack,
+                settings.member.incarnation * ASKS_PER_MS,
+            ),
+            self.membership,
+            clock,
+            timers,
+            self.observer.record_quota_exceeded,
+            self.observer.record_quota_share,
+        )
         self.request_handler = RequestHandler(
             self.exchange_context,
             self.state.routes,
             codecs.client,
             self.observer.record_finished,
             self._judge_configuration,
+            self.quotas,
         )
         self.quarantine.on_quarantined = self.request_handler.end_quarantined
         self.leaving = False
@@ -250,6 +270,10 @@
             self.quarantine.select_shared,
         )
         self._leaving_announcer.register(self.heartbeats)
+        self.heartbeats.register_message(ShareMessage, self.quotas.handle_share)
+        self.heartbeats.register_message(TokenRequest, self.quotas.handle_request)
+        self.heartbeats.register_message(TokenReply, self.quotas.handle_reply)
+        self.quotas.connect(self.heartbeats.send_message)
         self._peer_server = self.serve(
             self.settings.member.peer_address,
             PeerHandler(self.state.export_state, self.state.relay_handler),
@@ -297,6 +321,7 @@
         self.state.stop()
         if self.rollout_service is not None:
             self.rollout_service.stop()
+        self.quotas.disconnect()
         if self.heartbeats is not None:
             self.heartbeats.close()
             self.heartbeats = None
@@ -401,7 +426,8 @@
     def _log_source_change(self, source: str, reason: str) -> None:
         self.log.record(events.SOURCE_CHANGED, source=source, reason=reason)
 
-    def _drop_removed_routes(self, table: RouteTable) -> None:
+    def _apply_table(self, table: RouteTable) -> None:
+        self.quotas.set_accounts(table.accounts.accounts.values())
         self.latency_estimators.retain(frozenset(route.name for route in table.routes))
 
     def _get_own_state(self) -> OwnState:
@@ -570,6 +596,17 @@
             "standing",
             self.quarantine.count,
         )
+        metrics.add_gauge(
+            "persimmonspur_quotas",
+            "Share of the quotas that this instance accrues, requests that wait, tokens exchanged",
+            "figure",
+            lambda: {
+                "share": self.quotas.quotas.share,
+                "waiting": self.quotas.waiting,
+                "tokens_given": self.quotas.quotas.given,
+                "tokens_received": self.quotas.quotas.received,
+            },
+        )
         metrics.add_gauge(
             "persimmonspur_retry_budget_used_ratio",
             "Spent part of this instance's share of the retry budget",
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -20,6 +20,8 @@
 MAX_TRACEBACK_CHARACTERS = 2_000
 # Invalid entries that are remembered because they were logged.
 MAX_REMEMBERED_ENTRIES = 1_000
+# Refusals that a client can cause at any rate.
+REFUSAL_STATUSES = frozenset((401, 429))
 
 
 @frozen
@@ -82,6 +84,14 @@
         }
         self.log.record_request(events.REQUEST_STANDING, True, lambda: fields)
 
+    def record_quota_exceeded(self, account: str, rejected: int) -> None:
+        """Log how many requests of an account were rejected since the last such line."""
+        self.log.record(events.QUOTA_EXCEEDED, account=account, rejected=rejected)
+
+    def record_quota_share(self, has_share: bool) -> None:
+        """Log whether this instance accrues a share of the quotas from now on."""
+        self.log.record(events.QUOTA_SHARE_CHANGED, has_share=has_share)
+
     def record_finished(self, finished: FinishedRequest) -> None:
         """Count a finished request and log it within the rate limit."""
         response = finished.response
@@ -93,7 +103,10 @@
         late = route is not None and finished.duration_ms > route.objective_ms
         notable = response.status != 200 or response.covered < response.total or late
         self.log.record_request(
-            events.REQUEST_ANSWERED, notable, lambda: _describe_finished(finished)
+            events.REQUEST_ANSWERED,
+            notable,
+            lambda: _describe_finished(finished),
+            refused=response.status in REFUSAL_STATUSES,
         )
 
     def record_rejected_entries(self, kind: str, rejected: Iterable[Failure]) -> None:
--- a/tests/benchmarks/gather_cost.py
+++ b/tests/benchmarks/gather_cost.py
@@ -141,6 +141,7 @@
     figures |= {"retry_window_ms": 1e4, "keep_max_ms": 5e3, "cores": 1.0, "link_mbps": 0.0}
     names = {"instance": "i", "failure_domain": "a", "region": "r"}
     values = addresses | figures | names
+    # Optional parts keep their defaults.
     required = [field for field in attrs.fields(EntrySettings) if field.default is attrs.NOTHING]
     fields = {field.name: values[field.name] for field in required}
     writer = LineWriter(os.open(os.devnull, os.O_WRONLY))
--- a/tests/core/fleet/test_roles.py
+++ b/tests/core/fleet/test_roles.py
@@ -7,6 +7,7 @@
     choose_entry_set,
     choose_relays,
     compute_capability,
+    weigh_relays,
 )
 
 
@@ -87,3 +88,16 @@
         relays = choose_relays([make_member(index, domains=domains) for index in range(20)])
         remaining = [relay for relay in relays if relay.failure_domain != "d0"]
         assert len(remaining) >= 3
+
+
+def test_relays_of_each_failure_domain_weigh_the_same():
+    # Guards against a lost failure domain that had half of the relays.
+    relays = [make_member(index, domains=3) for index in range(4)]
+    weights = weigh_relays(relays)
+    assert list(weights) == [member.name for member in relays]
+    by_domain = {}
+    for member in relays:
+        weight = by_domain.get(member.failure_domain, 0.0) + weights[member.name]
+        by_domain[member.failure_domain] = weight
+    assert [round(weight, 9) for weight in by_domain.values()] == [round(1 / 3, 9)] * 3
+    assert weigh_relays([]) == {}
