Name the process of an endpoint in tests of rollouts

The selector's state belongs to a process since endpoints that restart keep nothing; the tests of rollouts passed identities, so one of them waited for nothing.

--- a/tests/core/fleet/test_rollouts.py
+++ b/tests/core/fleet/test_rollouts.py
@@ -308,9 +308,10 @@
 def test_success_waits_for_requests_at_old_endpoints():
     # Guards against requests that are lost because old endpoints stop without draining.
     instance = shift()
-    instance.rollouts._selector.record_sent("v1-0", 1, instance.now_ms)
+    lifetime = instance.endpoints.get("v1-0").lifetime
+    instance.rollouts._selector.record_sent(lifetime, 1, instance.now_ms)
     assert instance.find_writes() == []
-    instance.rollouts._selector.record_response("v1-0", 1, 10.0, False, instance.now_ms)
+    instance.rollouts._selector.record_response(lifetime, 1, 10.0, False, instance.now_ms)
     assert instance.find_writes() == [OrderState.SUCCEEDED]
 
 
--- a/tests/rolloutsim.py
+++ b/tests/rolloutsim.py
@@ -149,7 +149,7 @@
         number = next(self.fleet.numbers)
         record = AttemptRecord(endpoint.identity, SERVICE, AttemptKind.FIRST, now_ms, 1.0, 0.0, 0)
         attempt = Attempt(number, endpoint, record, None)
-        self.selector.record_sent(endpoint.identity, number, now_ms)
+        self.selector.record_sent(endpoint.lifetime, number, now_ms)
         self.rollouts.record_sent(endpoint, not tried, now_ms)
         status, took_ms = self.fleet.respond(endpoint, route, now_ms)
         self.fleet.call_later(took_ms, lambda: self._finish(attempt, route, status, tried))
@@ -157,7 +157,8 @@
     def _finish(self, attempt, route, status, tried):
         now_ms = self.fleet.now_ms
         identity = attempt.endpoint.identity
-        self.selector.record_response(identity, attempt.number, 20.0, status >= 500, now_ms)
+        lifetime = attempt.endpoint.lifetime
+        self.selector.record_response(lifetime, attempt.number, 20.0, status >= 500, now_ms)
         response = EndpointResponse(status, [], b"", "stamp", Ran.YES)
         self.rollouts.record_result(attempt, route, response, now_ms)
         if status >= 500 and not tried:
