Quotas that are usable at the start, and exact splits under refusals

- When a deployment started, nobody had a share of the quotas for the delay that protects former holders, though there were none.
- A quota given to an account that had none rejected everything until shares were granted.
It now holds from 2 s on, within the window that a lower limit has.
- Refused requests used up turns of a split, so that the targets' shares shifted with the refusals.
The turn is now taken when the request is sent.

--- a/src/persimmonspur/core/fleet/quotas.py
+++ b/src/persimmonspur/core/fleet/quotas.py
@@ -51,6 +51,9 @@
 MIN_GAIN = 0.25
 # Amounts below this are not worth a reply.
 MIN_AMOUNT = 0.001
+# An account that had no quota is not limited for this long after it has one, or for half of the
+# window: the instances have no shares while there are no quotas.
+UNLIMITED_MS = 2_000.0
 # Margin of the advice when to retry, for the time in which a token is fetched.
 RETRY_MARGIN = 1.1
 RETRY_MARGIN_MS = 10.0
@@ -99,6 +102,7 @@
     :param gained: tokens that it brought.
     :param ask_interval_ms: time until tokens are asked for again.
     :param rejected: requests rejected since they were last collected.
+    :param unlimited_until_ms: local time from which the quota holds.
     """
 
     account: Account
@@ -116,6 +120,7 @@
     gained: float = 0.0
     ask_interval_ms: float = ASK_INTERVAL_MS
     rejected: int = 0
+    unlimited_until_ms: float = -math.inf
 
     @property
     def available(self) -> float:
@@ -191,6 +196,8 @@
         self._extra_capacity_s = window_ms / 1000 * overshoot * CAPACITY_OVERSHOOT_FRACTION
         self._min_capacity = max(1.0, slack * MIN_CAPACITY_SLACK_FRACTION)
         self.trickle_holders = int(slack * TRICKLE_SLACK_FRACTION)
+        self._unlimited_ms = min(UNLIMITED_MS, window_ms / 2)
+        self._unlimited_names: frozenset[str] = frozenset()
         self._buckets: dict[str, Bucket] = {}
         self._by_id: dict[bytes, Bucket] = {}
         self._share = NO_SHARE
@@ -213,17 +220,22 @@
     def set_accounts(self, accounts: Iterable[Account], now_ms: float) -> None:
         """Apply the quotas of a configuration version; a lower one takes effect at once."""
         buckets: dict[str, Bucket] = {}
+        unlimited_names = []
         for account in accounts:
             if not account.rate_per_s:
+                unlimited_names.append(account.name)
                 continue
             bucket = self._buckets.get(account.name)
             if bucket is None:
                 bucket = Bucket(account, now_ms, observed_ms=now_ms)
+                if account.name in self._unlimited_names:
+                    bucket.unlimited_until_ms = now_ms + self._unlimited_ms
             else:
                 self._refill(bucket, now_ms)
                 bucket.account = account
                 self._clamp(bucket)
             buckets[account.name] = bucket
+        self._unlimited_names = frozenset(unlimited_names)
         self._buckets = buckets
         self._by_id = {compute_account_id(name): bucket for name, bucket in buckets.items()}
 
@@ -251,7 +263,7 @@
         :param can_wait: whether the request has time to wait.
         """
         bucket = self._find(account, now_ms)
-        if bucket is None:
+        if bucket is None or now_ms < bucket.unlimited_until_ms:
             return Verdict.ADMITTED
         admitted = not bucket.waiting and bucket.take()
         bucket.observe(admitted, now_ms)
--- a/src/persimmonspur/core/fleet/shares.py
+++ b/src/persimmonspur/core/fleet/shares.py
@@ -21,6 +21,9 @@
 # Updates that pause this long indicate that the process was suspended. It may have received
 # grants meanwhile that are out of date.
 SUSPENSION_MS = 1_000.0
+# Time after the first start of a deployment in which shares take effect at once. No bucket is
+# full by then, which makes up for shares that overlap while the instances get to know each other.
+FIRST_START_MS = 5_000.0
 # An instance that has not listed the registered instances cannot tell a fleet of one from a
 # fleet that it does not know yet.
 MIN_GRANTS_OF_UNKNOWN_FLEET = 2
@@ -53,7 +56,14 @@
     :ivar share: the share in effect.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_start: bool = False) -> None:
+        """Start without a share.
+
+        :param first_start: whether the whole deployment starts for the first time, so that
+            nobody holds a share yet.
+        """
+        self._first_start = first_start
+        self._raised_at_once_until_ms = 0.0
         self.share = 0.0
         self._grants: dict[str, Grant] = {}
         self._computed: deque[tuple[float, float]] = deque()
@@ -77,12 +87,17 @@
             self._grants.clear()
             self._computed.clear()
             self._computed.append((now_ms, 0.0))
+        if self._updated_ms is None and self._first_start:
+            self._raised_at_once_until_ms = now_ms + FIRST_START_MS
         self._updated_ms = now_ms
         computed = self._compute(weights, knows_fleet, now_ms)
         self._computed.append((now_ms, computed))
         while len(self._computed) > 1 and self._computed[1][0] <= now_ms - RAISE_DELAY_MS:
             self._computed.popleft()
-        self.share = min(share for _, share in self._computed)
+        if now_ms < self._raised_at_once_until_ms:
+            self.share = computed
+        else:
+            self.share = min(share for _, share in self._computed)
         return suspended
 
     def _compute(self, weights: Mapping[str, float], knows_fleet: bool, now_ms: float) -> float:
--- a/src/persimmonspur/entry/handlers.py
+++ b/src/persimmonspur/entry/handlers.py
@@ -57,7 +57,6 @@
 class _RoutedRequest:
     """A request that is to be sent to endpoints.
 
-    :param services: one service per shard of a gather, or the one service of the route.
     :param taken_ms: local time at which it took a token of its account's quota; ``None``
         without a quota.
     """
@@ -66,7 +65,6 @@
     respond: Respond
     table: RouteTable
     route: Route
-    services: tuple[str, ...]
     taken_ms: float | None = field(default=None)
 
 
@@ -136,13 +134,12 @@
         accounts = table.accounts if table is not None else NO_ACCOUNTS
         client_request = self._limit_to_drain(self._codec.parse_request(request, accounts))
         route = table.find(client_request.host, client_request.path) if table is not None else None
-        services = self._choose_services(route) if route is not None else ()
-        refusal = self._find_refusal(client_request, table, route, services)
+        refusal = self._find_refusal(client_request, table, route)
         if refusal is not None:
             self._refuse(client_request, respond, refusal, table)
             return None
         assert table is not None and route is not None
-        routed = _RoutedRequest(client_request, respond, table, route, services)
+        routed = _RoutedRequest(client_request, respond, table, route)
         account = client_request.account
         if account is None or not account.rate_per_s:
             return self._start(routed)
@@ -224,7 +221,7 @@
             self._exchange_context,
             routed.table,
             routed.route,
-            routed.services,
+            self._choose_services(routed.route),
             routed.request,
             send_response,
         )
@@ -249,17 +246,20 @@
         return evolve(request, timeout_ms=left_ms)
 
     def _choose_services(self, route: Route) -> tuple[str, ...]:
-        """Return one service per shard of a gather, or one of the route's targets."""
+        """Return one service per shard of a gather, or one of the route's targets.
+
+        Called for each request that is sent, and for no other, so that the shares of the
+        targets are exact.
+        """
         if route.gather is not None:
             return route.gather.shards
-        return (self._rotation.pick(route),) if route.targets else ()
+        return (self._rotation.pick(route),)
 
     def _find_refusal(
         self,
         request: ClientRequest,
         table: RouteTable | None,
         route: Route | None,
-        services: tuple[str, ...],
     ) -> "_Refusal | None":
         """Return why a request is not sent to endpoints, or ``None`` if it is."""
         if self._rejecting:
@@ -275,7 +275,7 @@
                 return _UNCONFIRMED
             if request.account is None:
                 return self._qualify(_Refusal(401, "unauthorized", is_challenge=True), table)
-        if not services:
+        if not (route.gather.shards if route.gather is not None else route.targets):
             return _Refusal(503, "no_target", UNCONFIGURED_RETRY_AFTER_MS)
         return None
 
--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -193,6 +193,7 @@
             timers,
             self.observer.record_quota_exceeded,
             self.observer.record_quota_share,
+            settings.first_start,
         )
         self.request_handler = RequestHandler(
             self.exchange_context,
--- a/src/persimmonspur/entry/quotas.py
+++ b/src/persimmonspur/entry/quotas.py
@@ -96,6 +96,7 @@
         timers: Timers,
         on_exceeded: Callable[[str, int], None],
         on_share_change: Callable[[bool], None],
+        first_start: bool = False,
     ) -> None:
         """Create a gate that is not connected to other instances.
 
@@ -103,6 +104,7 @@
             requests that were rejected since the last call.
         :param on_share_change: called with whether this instance now has a share of the
             quotas, when that changes.
+        :param first_start: whether the whole deployment starts for the first time.
         """
         self.quotas = quotas
         self._membership = membership
@@ -111,7 +113,7 @@
         self._on_exceeded = on_exceeded
         self._on_share_change = on_share_change
         self._send: SendMessage | None = None
-        self._tracker = ShareTracker()
+        self._tracker = ShareTracker(first_start)
         self._peers: list[Member] = []
         self._waiting: dict[str, deque[WaitingRequest]] = {}
         self._due: set[str] = set()
--- a/tests/core/fleet/test_quota_fleet.py
+++ b/tests/core/fleet/test_quota_fleet.py
@@ -64,6 +64,18 @@
         assert usable > 0.8 and worst <= 1.0
 
 
+@pytest.mark.parametrize("size", [4, 13])
+@pytest.mark.parametrize("burst", [0.0, 100.0])
+def test_quota_holds_and_is_usable_when_the_deployment_starts(size, burst):
+    account = Account("acct", None, 400.0, burst)
+    fleet = Fleet(size, [account], first_start=True)
+    fleet.offer("acct", list(fleet.instances)[:4], 3 * account.rate_per_s, 10_000.0)
+    fleet.advance(10_000.0)
+    usable = measure_usable(fleet, account, 0.0, 3_000.0)
+    worst = report(f"{size} instances start", fleet, usable, account)
+    assert usable > 0.6 and worst <= 1.0
+
+
 def test_hot_account_needs_few_messages():
     # Guards against an account that sends ten times its quota and fills the network.
     fleet = start_fleet(4)
--- a/tests/core/fleet/test_quotas.py
+++ b/tests/core/fleet/test_quotas.py
@@ -75,6 +75,15 @@
     assert not quotas.active
 
 
+def test_account_that_had_no_quota_keeps_going_until_it_can_have_tokens():
+    # Guards against a new quota that rejects everything until its bucket has filled.
+    quotas = make(Account("a"), share=0.0)
+    quotas.set_accounts([ACCOUNT, Account("new", None, 40.0, 40.0)], 10_000.0)
+    assert spend(quotas, 11_999.0, limit=100) == 100
+    assert spend(quotas, 12_001.0) == 0
+    assert spend(quotas, 11_999.0, Account("new", None, 40.0, 40.0)) == 0
+
+
 def test_lower_share_limits_the_bucket_at_once():
     # Guards against tokens that add up while the entry set changes.
     quotas = make(Account("a", None, 400.0, 400.0))
--- a/tests/core/fleet/test_shares.py
+++ b/tests/core/fleet/test_shares.py
@@ -42,6 +42,17 @@
     assert tracked.run(2 * GRANT_INTERVAL_MS, RELAYS) == 0.25
 
 
+def test_share_takes_effect_at_once_when_the_deployment_starts():
+    # Guards against quotas that nobody can use in the first seconds.
+    tracker = ShareTracker(first_start=True)
+    weights = dict.fromkeys(RELAYS, 0.25)
+    for now_ms in (0.0, GRANT_INTERVAL_MS):
+        tracker.update(weights, True, now_ms)
+        for relay in RELAYS:
+            tracker.record_grant(relay, Grant(4, 0.25, NOBODY, now_ms))
+    assert tracker.share == 0.25
+
+
 def test_share_ends_with_the_lease():
     tracked = Tracked()
     assert tracked.run(3_000.0, RELAYS) == 0.25
--- a/tests/platform/test_accounts.py
+++ b/tests/platform/test_accounts.py
@@ -134,6 +134,20 @@
             assert headers["x-tenant"] == "acme" and "authorization" not in headers
 
 
+def test_refused_requests_do_not_shift_the_shares_of_a_split(deployment):
+    # Guards against refusals that use up the turns of one service.
+    for service in ("s1", "s2"):
+        deployment.add_searcher(f"i-{service}", service)
+    split = [{"service": "s1", "weight": 1}, {"service": "s2", "weight": 1}]
+    deployment.configure(make_route(service=None, split=split), tenants=[make_tenant()])
+    start_configured(deployment)
+    for _ in range(10):
+        assert deployment.send_request("/one/x", headers=KNOWN)[0] == 200
+        assert deployment.send_request("/one/x")[0] == 401
+    executed = [len(searcher.executed) for searcher in deployment.searchers.values()]
+    assert executed == [5, 5]
+
+
 def test_keys_change_with_the_version_on_open_connections(deployment):
     # Guards against a revoked key that works as long as its client keeps the connection.
     start(deployment, tenants=[make_tenant(keys=["old"])])
--- a/tests/quotasim.py
+++ b/tests/quotasim.py
@@ -92,7 +92,7 @@
     :ivar ran: times at which requests of each account ran.
     """
 
-    def __init__(self, size, accounts, seed=0, faults=None):
+    def __init__(self, size, accounts, seed=0, faults=None, first_start=False):
         self.clock = ManualClock()
         self.rng = Random(seed)
         self.faults = faults or NetworkFaults()
@@ -109,7 +109,7 @@
         self._incarnations = itertools.count(1)
         self.registered = {}
         for index in range(size):
-            self.start(f"i{index:03}", DOMAINS[index % len(DOMAINS)])
+            self.start(f"i{index:03}", DOMAINS[index % len(DOMAINS)], first_start)
 
     def schedule(self, delay_ms, function):
         due_ms = self.clock.now_ms() + delay_ms
@@ -123,7 +123,7 @@
             function()
         self.clock.advance(end_ms - self.clock.now_ms())
 
-    def start(self, name, domain):
+    def start(self, name, domain, first_start=False):
         member = Member(name, next(self._incarnations), domain, "region", name, name)
         instance = self.instances[name] = SimInstance(self, member)
         instance.membership = membership = Membership(member)
@@ -141,6 +141,7 @@
             instance,
             lambda name, count: None,
             lambda has_share: None,
+            first_start=first_start,
         )
         gate.set_accounts(self.accounts.values())
         # Ticks of different instances are not aligned.
