--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -11,6 +11,7 @@
 from persimmonspur.core.fleet.budget import ColdStartLimit, RetryBudget
 from persimmonspur.core.fleet.context import ExchangeContext
 from persimmonspur.core.fleet.endpoints import Lifetime
+from persimmonspur.core.fleet.evenness import EvennessMeter
 from persimmonspur.core.fleet.formats import ResponseFormat
 from persimmonspur.core.fleet.freshness import ConfigurationStanding
 from persimmonspur.core.fleet.latency import RouteLatencyEstimators
@@ -151,6 +152,7 @@
         self.selector = ReplicaSelector(
             settings.member.failure_domain, rng, self.observer.record_suspicion
         )
+        self.evenness = EvennessMeter(self.selector, self.state.endpoints)
         self.latency_estimators = RouteLatencyEstimators()
         self.retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_ms
@@ -510,6 +512,7 @@
         self.sender.prepare_connections()
         self.quarantine.expire()
         self._refusals.write_due()
+        self.evenness.update(now_ms)
         self._update_limit_shares()
 
     def _list_sendable_lifetimes(self) -> frozenset[Lifetime]:
@@ -614,6 +617,15 @@
             "scope",
             lambda: {"fullest_service": self.retry_budget.compute_used_ratio(self.clock.now_ms())},
         )
+        metrics.add_gauge(
+            "persimmonspur_send_evenness_ratio",
+            "Sends to the busiest replica relative to the mean of its service, last interval",
+            "scope",
+            lambda: {
+                "mean": self.evenness.mean_ratio,
+                "worst_service": self.evenness.worst_ratio,
+            },
+        )
         metrics.add_gauge(
             "persimmonspur_client_connections",
             "Open connections of clients, by kind of address",
--- a/src/persimmonspur/platform/headers.py
+++ b/src/persimmonspur/platform/headers.py
@@ -197,7 +197,7 @@
         misdirected=misdirected,
         load=_parse_load(fields.get(_SERVER_LOAD_KEY)),
         rate_limit_per_s=_parse_rate(fields.get(_SERVER_LIMIT_KEY)),
-        leaving=not misdirected and fields.get(_SERVER_LEAVING_KEY, b"").strip() == b"1",
+        leaving=_SERVER_LEAVING_KEY in fields and not misdirected and _is_leaving(fields),
         retry_after_ms=(
             _parse_seconds(fields.get(_RETRY_AFTER_KEY))
             if response.status == STATUS_UNAVAILABLE
@@ -249,6 +249,10 @@
     return _parse_non_negative_number(value) if value is not None else None
 
 
+def _is_leaving(fields: dict[bytes, bytes]) -> bool:
+    return fields[_SERVER_LEAVING_KEY].strip() == b"1"
+
+
 def _parse_seconds(value: bytes | None) -> float | None:
     """Return a number of seconds in milliseconds; dates and other forms are not read."""
     if value is None or _SECONDS.fullmatch(value.strip()) is None:
