--- a/src/persimmonspur/entry/instance.py
+++ b/src/persimmonspur/entry/instance.py
@@ -36,6 +36,7 @@
 from persimmonspur.entry.eventlog import EventLog
 from persimmonspur.entry.features import NO_FEATURES, FeatureSettings
 from persimmonspur.entry.feeds import MAX_LIST_TIMEOUT_MS
+from persimmonspur.entry.gauges import register_gauges
 from persimmonspur.entry.handlers import ClientCodec, RequestHandler
 from persimmonspur.entry.heartbeats import Heartbeat, HeartbeatTransport, OwnState
 from persimmonspur.entry.leaving import LeavingAnnouncer
@@ -109,7 +110,11 @@
 
 
 class EntryInstance:
-    """The components of one entry process."""
+    """The components of one entry process.
+
+    :ivar servers: HTTP servers by the kind of their address.
+    :ivar total_stall_ms: time for which the process was stalled.
+    """
 
     def __init__(
         self,
@@ -127,7 +132,7 @@
         self.observer = Observer(log)
         self.timers = timers
         self._refusals = RefusalRecorder(log, self.observer.metrics, clock)
-        self._servers: list[tuple[str, HttpServer]] = []
+        self.servers: list[tuple[str, HttpServer]] = []
         self._sources = sources
         self._rng = rng = random.Random(settings.member.name + str(settings.member.incarnation))
         self.membership = Membership(settings.member)
@@ -219,11 +224,11 @@
         )
         self._peer_server: HttpServer | None = None
         self._last_maintenance_ms = 0.0
-        self._total_stall_ms = 0.0
+        self.total_stall_ms = 0.0
         self._store_restored = Event()
         self._share_timer: TimerHandle | None = None
         self._last_share_ms = -SHARE_INTERVAL_MS
-        self._register_gauges()
+        register_gauges(self)
 
     def _build_rollouts(self) -> RolloutService | None:
         """Create what moves services to other versions, if the deployment has that."""
@@ -307,7 +312,7 @@
             build_server_limits(share, self.settings.features, get_limits),
             lambda reason: self._refusals.record(share.name, reason),
         )
-        self._servers.append((share.name, server))
+        self.servers.append((share.name, server))
         return server
 
     def leave(self) -> None:
@@ -548,115 +553,5 @@
         late_ms = now_ms - self._last_maintenance_ms - MAINTENANCE_INTERVAL_MS
         if self._last_maintenance_ms and late_ms > STALL_THRESHOLD_MS:
             self.log.record(events.PROCESS_STALLED, stall_ms=round(late_ms))
-            self._total_stall_ms += late_ms
+            self.total_stall_ms += late_ms
         self._last_maintenance_ms = now_ms
-
-    def _register_gauges(self) -> None:
-        metrics = self.observer.metrics
-        metrics.add_gauge(
-            "persimmonspur_state_version",
-            "Version of the configuration, revision of the latest endpoint change, and its era",
-            "state",
-            lambda: {
-                "configuration": self.state.version,
-                "endpoints": self.state.endpoint_feed.newest.revision,
-                "era": self.state.endpoint_feed.position.era,
-            },
-        )
-        metrics.add_gauge(
-            "persimmonspur_store_reached_seconds",
-            "Time since the last successful call of the store",
-            "feed",
-            self._get_store_ages,
-        )
-        metrics.add_gauge(
-            "persimmonspur_store_call_age_seconds",
-            "Time since the call in progress for changes was sent",
-            "feed",
-            lambda: {feed.name: feed.call_age_ms / 1000 for feed in self.state.feeds},
-        )
-        metrics.add_gauge(
-            "persimmonspur_instance",
-            "Requests and sends that run, live relays, connections, lost log lines, stalls",
-            "count",
-            lambda: {
-                "requests": self.request_handler.running,
-                "sends": self.selector.count_outstanding(),
-                "relays": len(self.membership.live_relays(self.clock.now_ms())),
-                "endpoint_connections_opened": self.sender.count_opened(),
-                "log_lines_dropped": self.log.dropped_lines,
-                "stalled_ms": self._total_stall_ms,
-            },
-        )
-        metrics.add_gauge(
-            "persimmonspur_endpoints",
-            "Known endpoints, and how many of them are in each state",
-            "state",
-            self._count_endpoints,
-        )
-        metrics.add_gauge(
-            "persimmonspur_crashing_requests",
-            "Requests that are suspected to crash endpoints, or quarantined because they do",
-            "standing",
-            self.quarantine.count,
-        )
-        metrics.add_gauge(
-            "persimmonspur_quotas",
-            "Share of the quotas that this instance accrues, requests that wait, tokens exchanged",
-            "figure",
-            lambda: {
-                "share": self.quotas.quotas.share,
-                "waiting": self.quotas.waiting,
-                "tokens_given": self.quotas.quotas.given,
-                "tokens_received": self.quotas.quotas.received,
-            },
-        )
-        metrics.add_gauge(
-            "persimmonspur_retry_budget_used_ratio",
-            "Spent part of this instance's share of the retry budget",
-            "scope",
-            lambda: {"fullest_service": self.retry_budget.compute_used_ratio(self.clock.now_ms())},
-        )
-        metrics.add_gauge(
-            "persimmonspur_send_evenness_ratio",
-            "Sends to the busiest replica relative to the mean of its service, last interval",
-            "scope",
-            lambda: {
-                "mean": self.evenness.mean_ratio,
-                "worst_service": self.evenness.worst_ratio,
-            },
-        )
-        metrics.add_gauge(
-            "persimmonspur_client_connections",
-            "Open connections of clients, by kind of address",
-            "address",
-            self._sum_connections,
-        )
-        metrics.add_gauge(
-            "persimmonspur_request_memory_bytes",
-            "Estimated memory of requests being received, queued or handled, by kind of address",
-            "address",
-            self._sum_request_memory,
-        )
-
-    def _sum_connections(self) -> dict[str, float]:
-        counts: dict[str, float] = {}
-        for name, server in self._servers:
-            counts[name] = counts.get(name, 0) + len(server)
-        return counts
-
-    def _sum_request_memory(self) -> dict[str, float]:
-        counts: dict[str, float] = {}
-        for name, server in self._servers:
-            counts[name] = counts.get(name, 0) + server.memory.used_bytes
-        return counts
-
-    def _count_endpoints(self) -> dict[str, float]:
-        counts = self.state.endpoints.count_states(self.clock.now_ms())
-        counts["suspected"] = self.selector.count_suspected()
-        counts["limited"] = self.rate_limit.count_limited()
-        return counts | self.pushback.count_states(self.state.endpoints, self.clock.now_ms())
-
-    def _get_store_ages(self) -> dict[str, float]:
-        now_ms = self.clock.now_ms()
-        return {feed.name: (now_ms - feed.last_success_ms) / 1000 for feed in self.state.feeds}
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -6,6 +6,7 @@
 from platformsim import make_entry, make_route
 
 from persimmonspur.entry import leaving
+from persimmonspur.entry.gauges import count_endpoints
 
 
 @pytest.fixture
@@ -176,7 +177,7 @@
     send_until_received(first, searcher)
     searcher.respond = None
     assert count_received_after([first], searcher) == 0
-    assert first.instance._count_endpoints()["pushed_back"] == 1
+    assert count_endpoints(first.instance)["pushed_back"] == 1
     keep_only(first, searcher)
     # The period concerns only the instance that got the response.
     assert first.send_request("/one/x")[0] == 503
