--- a/src/persimmonspur/core/fleet/selection.py
+++ b/src/persimmonspur/core/fleet/selection.py
@@ -166,8 +166,11 @@
         slots = max(1, endpoint.slots)
         limit = slots * (1.0 + wait_ms / expected_ms)
         state = self.get_state(endpoint.lifetime)
-        even_share = EVEN_SHARE_FRACTION * self.sharing_instances * len(state.outstanding)
-        return max(even_share, self._estimate_load(state, now_ms)) < limit
+        load = self._estimate_load(state, now_ms)
+        if state.outstanding:
+            even_share = EVEN_SHARE_FRACTION * self.sharing_instances * len(state.outstanding)
+            load = max(load, even_share)
+        return load < limit
 
     def _estimate_load(self, state: ReplicaState, now_ms: float) -> float:
         own_load = float(len(state.outstanding))
