Let quotas be used at once when a whole deployment restarts

Cause: a share of the quotas takes effect only after 1.5 s, so that its former holder has stopped, and was at once only at the very first start. Change: grants say how long the relay has been running. While relays of three quarters of the weight have just started, an instance that has just started too uses its share at once.

--- a/src/persimmonspur/core/fleet/shares.py
+++ b/src/persimmonspur/core/fleet/shares.py
@@ -6,6 +6,7 @@
 instances each relay takes for alive.
 """
 
+import math
 from collections import deque
 from collections.abc import Collection, Mapping
 
@@ -21,9 +22,12 @@
 # Updates that pause this long indicate that the process was suspended. It may have received
 # grants meanwhile that are out of date.
 SUSPENSION_MS = 1_000.0
-# Time after the first start of a deployment in which shares take effect at once. No bucket is
-# full by then, which makes up for shares that overlap while the instances get to know each other.
-FIRST_START_MS = 5_000.0
+# Time after the start of a deployment in which shares take effect at once. No bucket is full by
+# then, which makes up for shares that overlap while the instances get to know each other.
+START_PERIOD_MS = 5_000.0
+# The whole deployment counts as restarted if relays of this weight have started lately: what
+# their earlier processes granted has ended, or ends within a part of the lease.
+RESTARTED_WEIGHT = 0.75
 # An instance that has not listed the registered instances cannot tell a fleet of one from a
 # fleet that it does not know yet.
 MIN_GRANTS_OF_UNKNOWN_FLEET = 2
@@ -39,12 +43,14 @@
     :param fraction: granted fraction of the relay's part.
     :param silent: names of the relays that the relay does not hear.
     :param received_ms: local time at which the grant was received.
+    :param relay_age_ms: time since the relay started.
     """
 
     relays: int
     fraction: float
     silent: frozenset[str]
     received_ms: float
+    relay_age_ms: float = math.inf
 
 
 class ShareTracker:
@@ -63,7 +69,7 @@
             nobody holds a share yet.
         """
         self._first_start = first_start
-        self._raised_at_once_until_ms = 0.0
+        self._started_ms: float | None = None
         self.share = 0.0
         self._grants: dict[str, Grant] = {}
         self._computed: deque[tuple[float, float]] = deque()
@@ -87,19 +93,29 @@
             self._grants.clear()
             self._computed.clear()
             self._computed.append((now_ms, 0.0))
-        if self._updated_ms is None and self._first_start:
-            self._raised_at_once_until_ms = now_ms + FIRST_START_MS
+        if self._started_ms is None:
+            self._started_ms = now_ms
         self._updated_ms = now_ms
         computed = self._compute(weights, knows_fleet, now_ms)
         self._computed.append((now_ms, computed))
         while len(self._computed) > 1 and self._computed[1][0] <= now_ms - RAISE_DELAY_MS:
             self._computed.popleft()
-        if now_ms < self._raised_at_once_until_ms:
+        is_starting = now_ms - self._started_ms < START_PERIOD_MS
+        if is_starting and (self._first_start or self._has_restarted(weights)):
             self.share = computed
         else:
             self.share = min(share for _, share in self._computed)
         return suspended
 
+    def _has_restarted(self, weights: Mapping[str, float]) -> bool:
+        """Return whether nearly all relays have started lately, as after a loss of power."""
+        restarted = 0.0
+        for name, weight in weights.items():
+            grant = self._grants.get(name)
+            if grant is not None and grant.relay_age_ms < START_PERIOD_MS:
+                restarted += weight
+        return restarted >= RESTARTED_WEIGHT - ROUNDING
+
     def _compute(self, weights: Mapping[str, float], knows_fleet: bool, now_ms: float) -> float:
         for relay, grant in list(self._grants.items()):
             if now_ms - grant.received_ms > GRANT_LEASE_MS:
--- a/src/persimmonspur/entry/quotas.py
+++ b/src/persimmonspur/entry/quotas.py
@@ -1,5 +1,6 @@
 """Quotas of client accounts: requests that wait for tokens, and messages between instances."""
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 
@@ -40,12 +41,14 @@
     :param relays: number of relays among which the quotas are divided.
     :param fraction: fraction of the sender's part that the receiver gets.
     :param silent: names of the relays that the sender does not hear.
+    :param age_ms: time since the sender started.
     """
 
     sender: str
     relays: int
     fraction: float
     silent: list[str]
+    age_ms: float = math.inf
 
 
 class TokenRequest(msgspec.Struct, array_like=True, tag="quota-ask"):
@@ -113,6 +116,7 @@
         self._on_exceeded = on_exceeded
         self._on_share_change = on_share_change
         self._send: SendMessage | None = None
+        self._started_ms = clock.now_ms()
         self._tracker = ShareTracker(first_start)
         self._peers: list[Member] = []
         self._waiting: dict[str, deque[WaitingRequest]] = {}
@@ -198,7 +202,11 @@
         if not 0 <= message.fraction <= 1:
             return
         grant = Grant(
-            message.relays, message.fraction, frozenset(message.silent), self._clock.now_ms()
+            message.relays,
+            message.fraction,
+            frozenset(message.silent),
+            self._clock.now_ms(),
+            message.age_ms,
         )
         self._tracker.record_grant(message.sender, grant)
 
@@ -256,7 +264,11 @@
             if name != own.name and not self._membership.is_heard(name, now_ms):
                 silent.append(name)
         message = ShareMessage(
-            own.name, len(expected), 1 / len(entry_set), silent[:MAX_SILENT_PER_MESSAGE]
+            own.name,
+            len(expected),
+            1 / len(entry_set),
+            silent[:MAX_SILENT_PER_MESSAGE],
+            now_ms - self._started_ms,
         )
         if own in entry_set:
             self.handle_share(message)
--- a/tests/core/fleet/test_quota_fleet.py
+++ b/tests/core/fleet/test_quota_fleet.py
@@ -204,3 +204,28 @@
     usable = measure_usable(fleet, account, started_ms, fleet.clock.now_ms())
     worst = report("131 instances, one cut off", fleet, usable, account)
     assert usable > 0.7 and worst <= 1.0
+
+
+@pytest.mark.parametrize("size", [4, 13])
+@pytest.mark.parametrize("down_ms", [500.0, 1_500.0])
+@pytest.mark.parametrize("rate_per_s", [30.0, 400.0])
+def test_quota_holds_and_is_usable_when_all_instances_restart(size, down_ms, rate_per_s):
+    # Guards against seconds in which every account is refused because no instance has a share
+    # yet, and against a second burst after the restart.
+    account = Account("acct", None, rate_per_s, rate_per_s)
+    fleet = start_fleet(size, account)
+    names = sorted(fleet.instances)
+    fleet.offer("acct", names[:4], 3 * account.rate_per_s, 12_000.0)
+    fleet.advance(3_000.0)
+    domains = {name: fleet.instances[name].member.failure_domain for name in names}
+    for name in names:
+        fleet.crash(name)
+    fleet.advance(down_ms)
+    restarted_ms = fleet.clock.now_ms()
+    for name in names:
+        delay_ms = fleet.rng.uniform(0.0, 300.0)
+        fleet.schedule(delay_ms, lambda name=name: fleet.start(name, domains[name]))
+    fleet.advance(8_000.0)
+    usable = measure_usable(fleet, account, restarted_ms + 300.0, restarted_ms + 3_300.0)
+    worst = report(f"{size} instances restart after {down_ms} ms", fleet, usable, account)
+    assert usable > 0.6 and worst <= 1.0
