--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -115,6 +115,7 @@
         batch_delay_ms: float = 0.0,
         verifies_watches: Callable[[], bool] = lambda: False,
         is_urgent: Callable[[T | None, T | None], bool] | None = None,
+        expects_urgent: Callable[[], bool] = lambda: True,
         watches_briefly: Callable[[], bool] = lambda: False,
     ) -> None:
         """Create a feed that is not running.
@@ -132,6 +133,8 @@
         :param is_urgent: returns whether a change from one state of an object to another must
             take effect at once; ``None`` stands for a missing object. A feed with urgent
             changes watches again at once, as often as :class:`WatchPacer` allows.
+        :param expects_urgent: returns whether changes may be urgent now; if not, the delay is
+            the same as without ``is_urgent``.
         :param watches_briefly: returns whether all watches are short now, because this instance
             relies on the state being confirmed lately.
         """
@@ -144,6 +147,7 @@
         self._rng = rng
         self._batch_delay_ms = batch_delay_ms
         self._is_urgent = is_urgent
+        self._expects_urgent = expects_urgent
         self._pacer = WatchPacer(batch_delay_ms)
         self._verifies_watches = verifies_watches
         self._watches_briefly = watches_briefly
@@ -326,6 +330,8 @@
             return self._batch_delay_ms
         if updates.relayed:
             return 0.0
+        if not self._expects_urgent():
+            return self._batch_delay_ms
         urgent = any(is_urgent(self.items.get(name), value) for name, value in updates.changes)
         return self._pacer.compute_delay_ms(urgent, self._clock.now_ms())
 
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -162,6 +162,7 @@
             ENDPOINT_BATCH_DELAY_MS,
             verifies_watches,
             restricts_work,
+            self._limits_cold_starts,
         )
         self.store_recovered = Event()
         self.on_initialized: Callable[[], None] | None = None
@@ -256,6 +257,16 @@
         for feed in self.feeds:
             feed.record_restore(era)
 
+    def _limits_cold_starts(self) -> bool:
+        """Return whether endpoints that turn cold must be noticed at once.
+
+        All other changes have seconds to take effect, and each watch is a billed call.
+        """
+        table = self.routes.table
+        if table is None:
+            return False
+        return any(limits.cold_per_s > 0 for limits in table.services.values())
+
     def get_client_limits(self) -> ClientLimits:
         """Return the limits for client requests."""
         table = self.routes.table
