--- a/src/persimmonspur/entry/gauges.py
+++ b/src/persimmonspur/entry/gauges.py
@@ -1,12 +1,50 @@
 """Gauges that show the state of one entry instance."""
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-if TYPE_CHECKING:
-    from persimmonspur.entry.instance import EntryInstance
+from persimmonspur.clock import Clock
+from persimmonspur.core.fleet.budget import RetryBudget
+from persimmonspur.core.fleet.evenness import EvennessMeter
+from persimmonspur.core.fleet.members import Membership
+from persimmonspur.core.fleet.pushback import EndpointPushback
+from persimmonspur.core.fleet.quarantine import Quarantine
+from persimmonspur.core.fleet.ratelimit import EndpointRateLimit
+from persimmonspur.core.fleet.selection import ReplicaSelector
+from persimmonspur.entry.eventlog import EventLog
+from persimmonspur.entry.handlers import RequestHandler
+from persimmonspur.entry.observer import Observer
+from persimmonspur.entry.quotas import QuotaGate
+from persimmonspur.entry.sender import EndpointSender
+from persimmonspur.entry.server import HttpServer
+from persimmonspur.entry.state import StoreState
 
 
-def register_gauges(instance: "EntryInstance") -> None:
+class ObservedInstance(Protocol):
+    """The components of an instance that its gauges read.
+
+    :ivar servers: HTTP servers by the kind of their address.
+    :ivar total_stall_ms: time for which the process was stalled.
+    """
+
+    clock: Clock
+    evenness: EvennessMeter
+    log: EventLog
+    membership: Membership
+    observer: Observer
+    pushback: EndpointPushback
+    quarantine: Quarantine
+    quotas: QuotaGate
+    rate_limit: EndpointRateLimit
+    request_handler: RequestHandler
+    retry_budget: RetryBudget
+    selector: ReplicaSelector
+    sender: EndpointSender
+    servers: list[tuple[str, HttpServer]]
+    state: StoreState
+    total_stall_ms: float
+
+
+def register_gauges(instance: ObservedInstance) -> None:
     """Add the gauges of an instance to its metrics."""
     metrics = instance.observer.metrics
     metrics.add_gauge(
@@ -98,7 +136,7 @@
     )
 
 
-def sum_connections(instance: "EntryInstance") -> dict[str, float]:
+def sum_connections(instance: ObservedInstance) -> dict[str, float]:
     """Return the number of open connections by kind of address."""
     counts: dict[str, float] = {}
     for name, server in instance.servers:
@@ -106,7 +144,7 @@
     return counts
 
 
-def sum_request_memory(instance: "EntryInstance") -> dict[str, float]:
+def sum_request_memory(instance: ObservedInstance) -> dict[str, float]:
     """Return the estimated bytes of all requests by kind of address."""
     counts: dict[str, float] = {}
     for name, server in instance.servers:
@@ -114,7 +152,7 @@
     return counts
 
 
-def count_endpoints(instance: "EntryInstance") -> dict[str, float]:
+def count_endpoints(instance: ObservedInstance) -> dict[str, float]:
     """Return the number of known endpoints, and of those in each state."""
     now_ms = instance.clock.now_ms()
     counts = instance.state.endpoints.count_states(now_ms)
@@ -125,7 +163,7 @@
     )
 
 
-def get_store_ages(instance: "EntryInstance") -> dict[str, float]:
+def get_store_ages(instance: ObservedInstance) -> dict[str, float]:
     """Return the seconds since the last successful call of each feed."""
     now_ms = instance.clock.now_ms()
     return {feed.name: (now_ms - feed.last_success_ms) / 1000 for feed in instance.state.feeds}
