--- a/src/persimmonspur/core/fleet/pacing.py
+++ b/src/persimmonspur/core/fleet/pacing.py
@@ -5,8 +5,8 @@
 """
 
 # Watches that may follow each other without a pause after a quiet time, and the time after which
-# a further one may follow. Eight changes in a second are more than a quiet day has, and a pause
-# of 125 ms leaves a cold endpoint most of its limit for one second.
+# a further one may follow. The burst covers endpoints that change shortly after each other; a
+# pause of 125 ms leaves a cold endpoint most of its limit for one second.
 BURST_WATCHES = 8
 WATCH_INTERVAL_MS = 125.0
 # For this long after its first list an instance may see the whole deployment start: hundreds of
