--- a/review/7/play.py
+++ b/review/7/play.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 from clients import Crowd, Kind  # noqa: E402
@@ -53,9 +54,18 @@
             return
 
 
-async def ask(machine: Machine) -> str:
-    """Send one request to a machine, with a time budget beyond the route's timeout."""
-    headers = {"X-Request-Id": new_id(), "X-Deadline-Ms": str(TIMEOUT_MS)}
+async def ask(deployment: Deployment, machine: Machine) -> str:
+    """Send one request to a machine and return how it ended."""
+    request_id = new_id()
+    deployment.note_sent(request_id, machine.front, f"{PREFIX} 0")
+    end = await wait_for_end(machine, request_id)
+    deployment.note_end(request_id, end)
+    return end
+
+
+async def wait_for_end(machine: Machine, request_id: str) -> str:
+    """Send one request and wait for half a second longer than the route's timeout."""
+    headers = {"X-Request-Id": request_id, "X-Deadline-Ms": str(TIMEOUT_MS)}
     try:
         wait_s = TIMEOUT_MS / 1000 + 0.5
         response = await fetch(machine.front, "GET", PREFIX + "2f", headers, timeout_s=wait_s)
@@ -72,7 +82,7 @@
     started = time.monotonic()
     answers = []
     for _ in range(CHECKED_REQUESTS // 4):
-        answers += await asyncio.gather(*(ask(machine) for _ in range(4)))
+        answers += await asyncio.gather(*(ask(deployment, machine) for _ in range(4)))
     ready = await deployment.is_ready(machine)
     used = (machine.read_cpu_s() - cpu_s) / (time.monotonic() - started)
     unanswered = answers.count("no answer")
@@ -84,7 +94,7 @@
 
 
 async def play() -> int:
-    deployment = Deployment(FOLDER, ["kolkata-a", "howrah-a"], machines=2, memory_mb=222)
+    deployment = Deployment(RECORD, ["kolkata-a", "howrah-a"], machines=2, memory_mb=222)
     try:
         for shard in SHARDS:
             deployment.add_searchers(shard, 3, slots=3, work_ms=7.5, records=6)
@@ -104,6 +114,7 @@
         deployment.note(f"ends so far: {dict(crowd.ends)}")
         await crowd.stop()
         held = [await check(deployment, machine) for machine in deployment.machines]
+        deployment.write_attempts()
         deployment.note("the rule held" if all(held) else "the rule was broken")
         return 0 if all(held) else 1
     finally:
--- a/review/standins-2/clients.py
+++ b/review/standins-2/clients.py
@@ -93,6 +93,14 @@
     async def _attempt(self, kind: Kind, address: str, left_ms: int) -> tuple[str, float]:
         request_id = new_id()
         kept = bool(self.idle.get(address))
+        self.deployment.note_sent(request_id, address, f"{kind.prefix} {len(kind.body)}")
+        end, retry_after_s = await self._await_end(kind, address, left_ms, request_id, kept)
+        self.deployment.note_end(request_id, end)
+        return end, retry_after_s
+
+    async def _await_end(
+        self, kind: Kind, address: str, left_ms: int, request_id: str, kept: bool
+    ) -> tuple[str, float]:
         try:
             response = await asyncio.wait_for(
                 self._exchange(kind, address, request_id, left_ms), left_ms / 1000
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -100,8 +100,10 @@
 class Deployment:
     """Machines, store and searchers; ends everything that it started."""
 
-    def __init__(self, folder: Path, zones: list[str], machines: int, memory_mb: int) -> None:
-        self.record = open(folder / "record.txt", "w")
+    def __init__(self, record: Path, zones: list[str], machines: int, memory_mb: int) -> None:
+        self.record = open(record, "w")
+        # Time, machine, what was sent and how it ended, by the id of the client's attempt.
+        self.attempts: dict[str, list[str]] = {}
         self.started = time.monotonic()
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.work = Path(self.temporary.name)
@@ -134,6 +136,24 @@
         self.record.write(f"{time.monotonic() - self.started:8.3f}  {text}\n")
         self.record.flush()
 
+    def note_sent(self, request_id: str, address: str, request: str) -> None:
+        """Remember that a client sent a request."""
+        sent_at = f"{time.monotonic() - self.started:8.3f}"
+        self.attempts[request_id] = [sent_at, address, request, "no answer"]
+
+    def note_end(self, request_id: str, end: str) -> None:
+        """Remember how a client's attempt ended."""
+        self.attempts[request_id][3] = end
+
+    def write_attempts(self) -> None:
+        """Write a line for each attempt: what was sent, answered and run."""
+        runs = self.list_runs()
+        self.note(f"{len(self.attempts)} requests: time, id, machine, sent, answered, run")
+        for request_id, (sent_at, address, request, end) in self.attempts.items():
+            run = " ".join(runs[request_id]) if request_id in runs else "not run"
+            ip = address.rpartition(":")[0]
+            self.record.write(f"{sent_at}  {request_id}  {ip}  {request}  {end}  {run}\n")
+
     def _write_settings(self, machine: Machine, peer_port: int, first_start: bool) -> None:
         limits = {"cpu_share": 0.731, "cores": 1, "memory_mb": self.memory_mb, "max_fds": 1535}
         limits |= {"link_mbps": 350.0, "disk_mb": 0}
