End requests whose time runs out before a send, at no cost to the retry budget

Cause: Exchange._send refused for lack of time without adding the endpoint to those that were tried, so the loop of _send_to_another chose the same one for ever. A stack of a hanging process (trial: the case in a scratch copy, with Python's fault handler on and SIGABRT sent to the process that had not come back) shows start -> _send_to_another -> EndpointChooser.choose. Two more faults of the same place: a retry without time spent the whole retry budget of the service before it ended, and a retry or hedge that found no free connection was counted although nothing was sent.

Change: whether there is time is decided once for each send, before an endpoint is chosen and before the budget is asked; a shard without time fails with the reason "no time left to send". What the loop can still meet is an endpoint without a free connection, which counts as tried, so it ends after the endpoints of the service at the latest. A counted extra attempt that was not sent is put back.

--- a/src/persimmonspur/core/fleet/budget.py
+++ b/src/persimmonspur/core/fleet/budget.py
@@ -93,6 +93,15 @@
         window.extra_attempts += 1
         return True
 
+    def put_back(self, service: str, now_ms: float) -> None:
+        """Take back an extra attempt that was counted at this time and not sent.
+
+        :param now_ms: the time that was given to :meth:`try_acquire`.
+        """
+        window = self._windows[service]
+        window.advance(now_ms, self._window_ms).extra_attempts -= 1
+        window.extra_attempts -= 1
+
     def compute_used_ratio(self, now_ms: float) -> float:
         """Return the used fraction of the budget of the service that has used the most."""
         used_ratio = 0.0
--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -53,6 +53,7 @@
 HEDGE_RECHECK_FRACTION = 0.15
 # A request is not sent with less than this time left.
 MIN_SEND_TIMEOUT_MS = 5.0
+NO_TIME_LEFT = "no time left to send"
 
 _attempt_numbers = itertools.count(1)
 
@@ -123,12 +124,11 @@
         if not self._is_enough(sum(chosen is not None for chosen in endpoints)):
             self._reject_at_start()
             return
-        remaining_ms = self._deadline_ms - now_ms - RESPONSE_MARGIN_MS
-        if remaining_ms < MIN_SEND_TIMEOUT_MS:
+        if not self._has_time_to_send(now_ms):
             self._reject("too_late")
             return
         # Before the first send, so that the request ends whatever a send raises.
-        self._set_timers(now_ms, remaining_ms)
+        self._set_timers(now_ms)
         for shard, endpoint in zip(self._shards, endpoints, strict=True):
             if endpoint is None:
                 self._fail_shard(shard, "no usable endpoint")
@@ -136,9 +136,7 @@
             if not self._guard.may_send():
                 self._hold_shard(shard)
                 continue
-            self._context.retry_budget.record_first_attempt(shard.service, now_ms)
-            if not self._send(shard, endpoint, AttemptKind.FIRST):
-                self._send_to_another(shard, is_retry=False)
+            self._send_first(shard, endpoint)
         self._respond_if_settled()
 
     def handle_disconnect(self) -> None:
@@ -166,8 +164,9 @@
         if not self._done and self._guard.quarantined:
             self._end_quarantined()
 
-    def _set_timers(self, now_ms: float, remaining_ms: float) -> None:
+    def _set_timers(self, now_ms: float) -> None:
         timers = self._context.timers
+        remaining_ms = self._compute_remaining_ms(now_ms)
         self._timers.append(timers.call_later(remaining_ms, self._handle_deadline))
         if not self._route.repeatable:
             return
@@ -181,12 +180,33 @@
             delay_ms = max(0.0, choose_partial_ms(self._route, self._request) - elapsed_ms)
             self._timers.append(timers.call_later(delay_ms, self._allow_partial))
 
-    def _send(self, shard: ShardProgress, endpoint: Endpoint, kind: AttemptKind) -> bool:
+    def _compute_remaining_ms(self, now_ms: float) -> float:
+        """Return the time until the response has to be sent."""
+        return self._deadline_ms - now_ms - RESPONSE_MARGIN_MS
+
+    def _has_time_to_send(self, now_ms: float) -> bool:
+        return self._compute_remaining_ms(now_ms) >= MIN_SEND_TIMEOUT_MS
+
+    def _send_first(self, shard: ShardProgress, endpoint: Endpoint) -> None:
+        """Send for a shard to the endpoint that was chosen at the start."""
         now_ms = self._context.clock.now_ms()
+        if not self._has_time_to_send(now_ms):
+            # The process may have stood still since the start.
+            self._fail_shard(shard, NO_TIME_LEFT)
+            return
+        self._context.retry_budget.record_first_attempt(shard.service, now_ms)
+        if not self._send(shard, endpoint, AttemptKind.FIRST, now_ms):
+            self._send_to_another(shard, is_retry=False)
+
+    def _send(
+        self, shard: ShardProgress, endpoint: Endpoint, kind: AttemptKind, now_ms: float
+    ) -> bool:
+        """Send for a shard; the caller has checked that there is time.
+
+        :returns: whether it was sent; if not, no connection to the endpoint was free.
+        """
         number = next(_attempt_numbers)
-        remaining_ms = self._deadline_ms - now_ms - RESPONSE_MARGIN_MS
-        if remaining_ms < MIN_SEND_TIMEOUT_MS:
-            return False
+        remaining_ms = self._compute_remaining_ms(now_ms)
 
         def handle_result(result: SendResult) -> None:
             self._handle_result(shard, number, result)
@@ -233,23 +253,32 @@
         :param is_retry: whether an endpoint of the service may have seen the request, so
             that the send counts towards the retry budget.
         """
-        now_ms = self._context.clock.now_ms()
+        kind = AttemptKind.RETRY if is_retry else AttemptKind.FIRST
+        # Each endpoint is tried once, so this ends at the latest when none is left.
         while shard.send_count < self._route.max_attempts:
+            now_ms = self._context.clock.now_ms()
+            if not self._has_time_to_send(now_ms):
+                shard.reason = f"{shard.reason}; {NO_TIME_LEFT}" if shard.reason else NO_TIME_LEFT
+                break
             endpoint = self._chooser.choose(shard.service, shard.tried, now_ms)
             if endpoint is None:
                 break
-            if is_retry and not self._context.retry_budget.try_acquire(
-                shard.service, now_ms, hedge=False
-            ):
-                shard.reason += "; retry budget exhausted"
-                self._context.count_send("retry_denied")
+            if is_retry and not self._acquire_retry(shard, now_ms):
                 break
-            kind = AttemptKind.RETRY if is_retry else AttemptKind.FIRST
-            if self._send(shard, endpoint, kind):
+            if self._send(shard, endpoint, kind, now_ms):
                 return
+            if is_retry:
+                self._context.retry_budget.put_back(shard.service, now_ms)
         if not shard.running:
             self._fail_shard(shard, shard.reason or "no other endpoint")
 
+    def _acquire_retry(self, shard: ShardProgress, now_ms: float) -> bool:
+        if self._context.retry_budget.try_acquire(shard.service, now_ms, hedge=False):
+            return True
+        shard.reason += "; retry budget exhausted"
+        self._context.count_send("retry_denied")
+        return False
+
     def _handle_result(self, shard: ShardProgress, number: int, result: SendResult) -> None:
         attempt = shard.running.pop(number, None)
         if attempt is None:
@@ -430,7 +459,7 @@
         self._hedge_timer = self._context.timers.call_later(delay_ms, self._hedge_pending_shards)
 
     def _hedge_shard(self, shard: ShardProgress, now_ms: float) -> bool:
-        if self._guard.suspected:
+        if self._guard.suspected or not self._has_time_to_send(now_ms):
             return False
         endpoint = self._chooser.choose(shard.service, shard.tried, now_ms)
         if endpoint is None:
@@ -441,7 +470,10 @@
         if not self._context.retry_budget.try_acquire(shard.service, now_ms, hedge=True):
             self._context.count_send("hedge_denied")
             return False
-        return self._send(shard, endpoint, AttemptKind.HEDGE)
+        if self._send(shard, endpoint, AttemptKind.HEDGE, now_ms):
+            return True
+        self._context.retry_budget.put_back(shard.service, now_ms)
+        return False
 
     def _allow_partial(self) -> None:
         self._partial_allowed = True
@@ -500,6 +532,9 @@
         if self._route.gather is None and response is not None and can_forward(response):
             self._finish(self._replies.forward(response, "endpoint_error"))
             return
+        if not self._has_time_to_send(self._context.clock.now_ms()):
+            self._finish(self._replies.report_unknown("timeout", 504))
+            return
         self._finish(self._replies.report_unknown(outcome, 502))
 
     def _reject_at_start(self) -> None:
--- a/tests/core/fleet/test_exchange_machine.py
+++ b/tests/core/fleet/test_exchange_machine.py
@@ -1,4 +1,7 @@
-"""Requests of the direct path under any order of responses, failures, timers and disconnects."""
+"""Requests of the direct path under any order of responses, failures, timers and disconnects.
+
+The machine may stand still within any send.
+"""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -9,6 +12,8 @@
 from persimmonspur.errors import Ran
 
 NOT_RUN = (408, 421, 429, 503)
+# How long the machine stands still after a send: not, or until little or no time is left.
+PAUSES_MS = st.sampled_from([0.0, 1.0, 60.0, 400.0, 975.0, 979.0, 981.0, 2_000.0])
 
 
 class ExchangeMachine(RuleBasedStateMachine):
@@ -21,9 +26,11 @@
         shards=st.integers(min_value=1, max_value=5),
         replicas=st.integers(min_value=0, max_value=4),
         least=st.floats(min_value=0.1, max_value=1.0),
+        pauses_ms=st.lists(PAUSES_MS, max_size=5),
     )
-    def begin(self, gather, idempotent, attempts, shards, replicas, least):
+    def begin(self, gather, idempotent, attempts, shards, replicas, least, pauses_ms):
         self.sim = SimTier()
+        self.sim.sender.pauses_ms = pauses_ms
         if gather:
             self.route = make_gather_route(shards, least, max_attempts=attempts)
         else:
@@ -73,6 +80,10 @@
     def wait(self, duration_ms):
         self.sim.timers.advance(duration_ms)
 
+    @rule(pause_ms=PAUSES_MS)
+    def pause_in_the_next_send(self, pause_ms):
+        self.sim.sender.pauses_ms.append(pause_ms)
+
     @rule()
     def leave(self):
         self.exchange.handle_disconnect()
--- a/tests/fleetsim.py
+++ b/tests/fleetsim.py
@@ -109,6 +109,7 @@
     :param exhausted: identities of endpoints to which no more connections may be opened.
     :param is_reset: returns whether a send ends with a reset connection instead of a response.
     :param models: models of endpoints that handle their own sends, by identity.
+    :param pauses_ms: how long the sender's machine stands still after each of the next sends.
     """
 
     clock: ManualClock
@@ -118,8 +119,16 @@
     exhausted: set = field(factory=set)
     is_reset: object = None
     models: dict = field(factory=dict)
+    pauses_ms: list = field(factory=list)
 
     def send(self, endpoint, request, timeout_ms, on_result):
+        try:
+            return self._send(endpoint, request, timeout_ms, on_result)
+        finally:
+            if self.pauses_ms:
+                self.clock.advance(self.pauses_ms.pop(0))
+
+    def _send(self, endpoint, request, timeout_ms, on_result):
         if endpoint.identity in self.exhausted:
             return None
         send = SimSend(endpoint, request, timeout_ms, on_result, self.clock.now_ms())
