Check entries wherever they are decoded: lists, watches, relays, copies, heartbeats

What an operator would see: one odd entry among those of the searchers, passed on by a relay or a peer, was used as it was (a port of 99999 names an endpoint, 0 slots) or made the whole message unreadable, so that a follower gave up its relay again and again, and a peer's state could not be copied at all.

Cause: the checks stood in the decoder of the store's documents only. Messages between instances were decoded as one typed whole, without checks of ranges.

Change: entry/validation.py holds the checks of endpoints, instances, failure domains, orders and route tables; the decoders of the store, of relays' lists and changes, of a peer's state and of heartbeats all use it. Values in messages between instances are decoded one by one; an odd one names nothing and is logged once, with the same text wherever it is read. Logged texts of rejected entries are bounded.

Two tests named fields that are decoded elsewhere now; their assertions are as strict (the relayed order is decoded by the same call as in use).

--- a/src/persimmonspur/core/fleet/roles.py
+++ b/src/persimmonspur/core/fleet/roles.py
@@ -18,6 +18,8 @@
 # Together they cover the entry set and the relays that are lost with one failure domain.
 RELAYS_PER_DOMAIN = 2
 MIN_RELAYS = 6
+# The bound on the capacity of the machines in the entry set is halved this often at most.
+MAX_HALVINGS = 16
 
 
 @frozen
@@ -127,7 +129,7 @@
     min_domains = min(MIN_ENTRY_SET_DOMAINS, len({member.failure_domain for member in members}))
     required = min(size, len(members))
     threshold = max((member.capability for member in members), default=0.0) / 2
-    while threshold > 0:
+    for _ in range(MAX_HALVINGS):
         capable = [member for member in members if member.capability >= threshold]
         if len(capable) >= required and len({m.failure_domain for m in capable}) >= min_domains:
             return capable
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -20,8 +20,8 @@
 from persimmonspur.core.fleet.position import NO_POSITION
 from persimmonspur.core.fleet.quarantine import CrashReport
 from persimmonspur.core.fleet.roles import Member
-from persimmonspur.entry.addresses import find_address_error
 from persimmonspur.entry.sockets import READ_EVENT, parse_address
+from persimmonspur.entry.validation import find_member_error
 from persimmonspur.entry.wire import Positions
 
 MAX_DATAGRAM_BYTES = 1_400
@@ -196,8 +196,6 @@
             except msgspec.DecodeError:
                 # Sent by an incompatible version; the sender counts as silent.
                 continue
-            if find_address_error(heartbeat.peer_address):
-                continue
             member = Member(
                 heartbeat.name,
                 heartbeat.incarnation,
@@ -207,7 +205,8 @@
                 heartbeat.peer_address,
                 heartbeat.capability,
             )
-            self._on_heartbeat(member, heartbeat)
+            if not find_member_error(member):
+                self._on_heartbeat(member, heartbeat)
 
     def _receive_message(self, data: bytes) -> None:
         if self._message_decoder is None:
--- a/src/persimmonspur/entry/httpclient.py
+++ b/src/persimmonspur/entry/httpclient.py
@@ -110,7 +110,7 @@
         return Error(Failure.of(kind, f"{peer}: status {result.ok.status}"))
     try:
         return Ok(msgspec.msgpack.decode(result.ok.body, type=message_type))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Error(Failure.of(ErrorKind.UNREACHABLE, f"{peer}: invalid response body: {error}"))
 
 
--- a/src/persimmonspur/entry/observer.py
+++ b/src/persimmonspur/entry/observer.py
@@ -20,6 +20,8 @@
 MAX_TRACEBACK_CHARACTERS = 2_000
 # Invalid entries that are remembered because they were logged.
 MAX_REMEMBERED_ENTRIES = 1_000
+# An entry of another writer may hold names of any length.
+MAX_REJECTION_CHARACTERS = 500
 # Refusals that a client can cause at any rate.
 REFUSAL_STATUSES = frozenset((401, 429))
 
@@ -112,13 +114,14 @@
     def record_rejected_entries(self, kind: str, rejected: Iterable[Failure]) -> None:
         """Log each invalid entry of the store once, however often it is read."""
         for failure in rejected:
-            key = (kind, failure.message)
+            reason = failure.message[:MAX_REJECTION_CHARACTERS]
+            key = (kind, reason)
             if key in self._logged_entries:
                 continue
             if len(self._logged_entries) >= MAX_REMEMBERED_ENTRIES:
                 del self._logged_entries[next(iter(self._logged_entries))]
             self._logged_entries[key] = None
-            self.log.record(events.ENTRY_REJECTED, kind=kind, reason=failure.message)
+            self.log.record(events.ENTRY_REJECTED, kind=kind, reason=reason)
 
     def record_feed_exception(self, feed: str, error: Exception) -> None:
         """Log an unexpected exception in a feed."""
--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -27,6 +27,7 @@
 from persimmonspur.entry.httpclient import HttpClient, fetch_message
 from persimmonspur.entry.server import HttpRequest, Respond, ServerResponse
 from persimmonspur.entry.serverlimits import PEER_RESPONSES, build_response_limits
+from persimmonspur.entry.validation import build_entry_failure
 from persimmonspur.errors import ErrorKind, Failure
 
 T = TypeVar("T")
@@ -66,19 +67,53 @@
     changes: list[tuple[str, W | None]]
 
 
+class ReceivedChanges(msgspec.Struct):
+    """A :class:`ChangesMessage` whose values are not decoded yet.
+
+    One value that cannot be decoded then does not spoil the others.
+    """
+
+    position: StorePosition
+    newest: StorePosition
+    recovering: bool
+    sent_ms: float
+    changes: list[tuple[str, msgspec.Raw]]
+
+
 @frozen
 class RelayFormat(Generic[T, W]):
     """Encoding of one kind of object in messages between instances.
 
-    :param message_type: :class:`ChangesMessage` of the wire type.
+    :param wire_type: type of the values in the messages.
     :param pack: converts an object to its wire type.
     :param unpack: converts a wire value to an object; takes the receiver's local time
         minus the sender's as well.
+    :param find_error: returns why an object with a name cannot be used, or an empty string; takes
+        the receiver's local time as well.
     """
 
-    message_type: Any
+    wire_type: Any
     pack: Callable[[T], W]
     unpack: Callable[[W, float], T]
+    find_error: Callable[[str, T, float], str]
+
+    def decode(
+        self, name: str, data: bytes, clock_offset_ms: float, now_ms: float
+    ) -> Result[T | None, Failure]:
+        """Decode and check one value of a message; a removed object is ``None``.
+
+        :param clock_offset_ms: the receiver's local time minus the sender's.
+        :param now_ms: local time of the receiver.
+        """
+        try:
+            wire: W | None = msgspec.msgpack.decode(data, type=self.wire_type | None)
+        except (msgspec.DecodeError, RecursionError) as error:
+            return Error(build_entry_failure(name, str(error)))
+        if wire is None:
+            return Ok(None)
+        value = self.unpack(wire, clock_offset_ms)
+        reason = self.find_error(name, value, now_ms)
+        return Error(build_entry_failure(name, reason)) if reason else Ok(value)
 
 
 @define(eq=False)
@@ -372,7 +407,7 @@
             return Error(fetched.error)
         updates = self._to_updates(fetched.ok)
         items = {name: value for name, value in updates.changes if value is not None}
-        return Ok(Snapshot(items, updates.position, updates.newest))
+        return Ok(Snapshot(items, updates.position, updates.newest, updates.rejected))
 
     def _watch_relay(self, relay: Member, position: StorePosition) -> Result[Updates[T], Failure]:
         path = f"{CHANGES_PATH}{self._name}?after={_format_position(position)}"
@@ -381,23 +416,25 @@
 
     def _fetch(
         self, relay: Member, path: str, timeout_ms: float
-    ) -> Result[ChangesMessage[W], Failure]:
+    ) -> Result[ReceivedChanges, Failure]:
         http_client = self._relay_client.get_client(relay)
-        message_type: type[ChangesMessage[W]] = self._format.message_type
-        return fetch_message(http_client, f"relay {relay.name}", path, timeout_ms, message_type)
+        return fetch_message(http_client, f"relay {relay.name}", path, timeout_ms, ReceivedChanges)
 
-    def _to_updates(self, message: ChangesMessage[W]) -> Updates[T]:
-        clock_offset_ms = self._relay_client.clock.now_ms() - message.sent_ms
+    def _to_updates(self, message: ReceivedChanges) -> Updates[T]:
+        now_ms = self._relay_client.clock.now_ms()
         changes: list[tuple[str, T | None]] = []
-        for name, value in message.changes:
-            changes.append((name, self._unpack_value(value, clock_offset_ms)))
+        rejected: list[Failure] = []
+        for name, data in message.changes:
+            decoded = self._format.decode(name, bytes(data), now_ms - message.sent_ms, now_ms)
+            if decoded.is_error():
+                # As in the store, an invalid entry names nothing that can be used.
+                rejected.append(decoded.error)
+            changes.append((name, None if decoded.is_error() else decoded.ok))
         return Updates(
             tuple(changes),
             message.position,
             message.newest,
-            recovering=message.recovering,
+            tuple(rejected),
+            message.recovering,
             relayed=True,
         )
-
-    def _unpack_value(self, value: W | None, clock_offset_ms: float) -> T | None:
-        return self._format.unpack(value, clock_offset_ms) if value is not None else None
--- a/src/persimmonspur/entry/state.py
+++ b/src/persimmonspur/entry/state.py
@@ -471,7 +471,7 @@
 
     def _fetch_peer_state(self, peer: Member) -> None:
         http_client = self._relay_client.open_client(peer)
-        fetched = fetch_state(http_client)
+        fetched = fetch_state(http_client, self._clock)
         http_client.close()
         if fetched.is_error():
             self._observer.log.record(
@@ -480,12 +480,13 @@
             return
         state = fetched.ok
         now_ms = self._clock.now_ms()
-        table = state.build_table()
-        if table is not None:
-            self._apply_table(table, peer.name)
+        for kind, rejected in state.rejected.items():
+            self._observer.record_rejected_entries(kind, rejected)
+        if state.table is not None:
+            self._apply_table(state.table, peer.name)
             self.configuration_feed.advance_newest(state.newest.configuration)
         if state.newest.endpoints > self.endpoint_feed.known_position:
-            self.endpoints.replace_all(state.build_endpoints(now_ms), False, now_ms)
+            self.endpoints.replace_all(state.endpoints, False, now_ms)
             self.endpoint_feed.advance_newest(state.newest.endpoints)
         if state.newest.evacuations > self.evacuation_feed.known_position:
             self._evacuated_domains = set(state.evacuated)
--- a/src/persimmonspur/platform/documents.py
+++ b/src/persimmonspur/platform/documents.py
@@ -19,19 +19,19 @@
     ServiceLimits,
     WeightedService,
 )
-from persimmonspur.entry.addresses import find_address_error
+from persimmonspur.entry.validation import (
+    MAX_INTEGER,
+    build_entry_failure,
+    find_endpoint_error,
+    find_member_error,
+    find_table_error,
+    is_header_value,
+)
 from persimmonspur.errors import ErrorKind, Failure
 
 ENDPOINT_STATES = ("ready", "draining")
-# Names are sent in headers and in datagrams of 1,400 bytes between instances.
-MAX_NAME_LENGTH = 255
-MAX_SLOTS = 1_000_000
-MAX_COLD_LEFT_MS = 86_400_000.0
-# Largest integer that the messages between instances can carry.
-MAX_INTEGER = 2**63 - 1
-
-_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
-_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+
+# Ranges are checked by entry.validation, except where a number is used before.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
@@ -48,13 +48,13 @@
     timeout_ms: float
     # Latency up to which a response has its full value.
     latency_target_ms: float = 1_000.0
-    priority: _Integer = 0
-    max_attempts: _Integer = 1
+    priority: int = 0
+    max_attempts: int = 1
     service: str | None = None
     split: list[_Split] | None = None
     # Services of a scatter-gather route, one for each shard.
     gather: list[str] | None = None
-    top_k: _Integer = 0
+    top_k: int = 0
     min_share: float = 1.0
     # Whether requests need no API key.
     public: bool = False
@@ -64,7 +64,7 @@
     name: str
     api_keys: list[str] = []
     # Replaces the priority of the route.
-    priority: _Integer | None = None
+    priority: int | None = None
     # Requests per second over all instances; 0 means no limit.
     rate_per_s: float = 0.0
     # Missing: as many requests as the rate allows in one second.
@@ -73,20 +73,20 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: _Integer = 64
+    max_conns: int = 64
     # Requests per second that a cold endpoint can handle; 0 means no limit.
     cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: _Integer = 16_384
-    max_body_bytes: _Integer = 262_144
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
     header_timeout_ms: float = 3_000.0
     idle_timeout_ms: float = 15_000.0
 
 
 class _Configuration(msgspec.Struct):
-    version: _Integer
+    version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -95,26 +95,26 @@
 
 
 class _Endpoint(msgspec.Struct):
-    service: _Name
-    addr: _Name
-    zone: _Name
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    service: str
+    addr: str
+    zone: str
+    slots: int
     state: str
     # Remaining cold-start time in milliseconds when the entry was written.
-    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_LEFT_MS)] = 0.0
-    born: _Count = 0
+    cold_left_ms: float = 0.0
+    born: int = 0
     # Increases with each report of one lifetime.
     seq: float = 0.0
-    version: _Name = ""
+    version: str = ""
 
 
 class _Instance(msgspec.Struct):
-    incarnation: _Count
-    zone: _Name
-    region: _Name
-    front: _Name
-    peer: _Name
-    capability: Annotated[float, msgspec.Meta(ge=0.0)] = 1.0
+    incarnation: int
+    zone: str
+    region: str
+    front: str
+    peer: str
+    capability: float = 1.0
 
 
 class _Rollout(msgspec.Struct):
@@ -137,7 +137,7 @@
     """Metadata of an object in the store."""
 
     name: str
-    revision: int = 0
+    revision: _Count = 0
 
 
 class StoreObject(msgspec.Struct):
@@ -172,18 +172,11 @@
     if reason:
         return Error(Failure.of(ErrorKind.INVALID_CONFIGURATION, f"configuration: {reason}"))
     accounts = _convert_tenants(document.tenants)
-    return Ok(RouteTable(document.version, routes, services, limits, accounts))
-
-
-def find_identity_error(identity: str) -> str:
-    """Return why an identity cannot be sent in a header, or an empty string."""
-    if not identity or len(identity) > MAX_NAME_LENGTH:
-        return f"the id has {len(identity)} characters, not 1 to {MAX_NAME_LENGTH}"
-    is_latin_1 = max(identity) <= "\xff"
-    # Spaces at the ends of a header are not part of its value.
-    if not is_latin_1 or not identity.isprintable() or identity != identity.strip():
-        return "the id has characters that cannot be sent in a header"
-    return ""
+    table = RouteTable(document.version, routes, services, limits, accounts)
+    reason = find_table_error(table)
+    if reason:
+        return Error(Failure.of(ErrorKind.INVALID_CONFIGURATION, f"configuration: {reason}"))
+    return Ok(table)
 
 
 def decode_endpoint(item: StoreObject, now_ms: float) -> Result[Endpoint, Failure]:
@@ -194,26 +187,23 @@
     try:
         entry = msgspec.convert(item.spec, _Endpoint)
     except msgspec.ValidationError as error:
-        return Error(_build_entry_failure(item, str(error)))
+        return Error(build_entry_failure(item.meta.name, str(error)))
     if entry.state not in ENDPOINT_STATES:
-        return Error(_build_entry_failure(item, f"unknown state {entry.state!r}"))
-    invalid = find_identity_error(item.meta.name) or find_address_error(entry.addr)
-    if invalid:
-        return Error(_build_entry_failure(item, invalid))
-    return Ok(
-        Endpoint(
-            item.meta.name,
-            entry.service,
-            entry.addr,
-            entry.zone,
-            entry.slots,
-            entry.state == "draining",
-            entry.born,
-            now_ms + entry.cold_left_ms if entry.cold_left_ms > 0 else 0.0,
-            entry.seq,
-            entry.version,
-        )
+        return Error(build_entry_failure(item.meta.name, f"unknown state {entry.state!r}"))
+    endpoint = Endpoint(
+        item.meta.name,
+        entry.service,
+        entry.addr,
+        entry.zone,
+        entry.slots,
+        entry.state == "draining",
+        entry.born,
+        now_ms + entry.cold_left_ms if entry.cold_left_ms > 0 else 0.0,
+        entry.seq,
+        entry.version,
     )
+    invalid = find_endpoint_error(endpoint, now_ms)
+    return Error(build_entry_failure(item.meta.name, invalid)) if invalid else Ok(endpoint)
 
 
 def decode_rollout(item: StoreObject) -> Result[RolloutOrder, Failure]:
@@ -265,25 +255,18 @@
     try:
         entry = msgspec.convert(item.spec, _Instance)
     except msgspec.ValidationError as error:
-        return Error(_build_entry_failure(item, str(error)))
-    invalid = (
-        find_identity_error(item.meta.name)
-        or find_address_error(entry.front)
-        or find_address_error(entry.peer)
-    )
-    if invalid:
-        return Error(_build_entry_failure(item, invalid))
-    return Ok(
-        Member(
-            item.meta.name,
-            entry.incarnation,
-            entry.zone,
-            entry.region,
-            entry.front,
-            entry.peer,
-            entry.capability,
-        )
+        return Error(build_entry_failure(item.meta.name, str(error)))
+    member = Member(
+        item.meta.name,
+        entry.incarnation,
+        entry.zone,
+        entry.region,
+        entry.front,
+        entry.peer,
+        entry.capability,
     )
+    invalid = find_member_error(member)
+    return Error(build_entry_failure(item.meta.name, invalid)) if invalid else Ok(member)
 
 
 def encode_member(member: Member) -> Any:
@@ -330,7 +313,7 @@
     The text names positions instead of values, since a value may be a misplaced key.
     """
     for index, tenant in enumerate(tenants):
-        if not _is_header_value(tenant.name):
+        if not is_header_value(tenant.name):
             return f"tenants[{index}].name must be printable Latin-1 text without outer spaces"
         for field_name, number in (("rate_per_s", tenant.rate_per_s), ("burst", tenant.burst)):
             if number is not None and not 0 <= number < math.inf:
@@ -338,13 +321,6 @@
     return ""
 
 
-def _is_header_value(text: str) -> bool:
-    """Return whether a text can be sent as the value of a header field."""
-    if not text or text != text.strip() or not text.isprintable():
-        return False
-    return all(ord(character) < 256 for character in text)
-
-
 def _convert_tenants(tenants: list[_Tenant]) -> AccountDirectory:
     return build_directory((_convert_tenant(tenant), tenant.api_keys) for tenant in tenants)
 
@@ -354,7 +330,3 @@
     if burst is None:
         burst = max(1.0, tenant.rate_per_s) if tenant.rate_per_s else 0.0
     return Account(tenant.name, tenant.priority, tenant.rate_per_s, burst)
-
-
-def _build_entry_failure(item: StoreObject, reason: str) -> Failure:
-    return Failure.of(ErrorKind.INVALID_CONFIGURATION, f"entry {item.meta.name}: {reason}")
--- a/tests/entry/test_rollouts.py
+++ b/tests/entry/test_rollouts.py
@@ -13,7 +13,7 @@
 from persimmonspur.core.fleet.rollouts.orders import OrderState, RolloutOrder
 from persimmonspur.core.fleet.rollouts.rollout import RolloutReport
 from persimmonspur.entry.heartbeats import MAX_DATAGRAM_BYTES, MESSAGE_PREFIX
-from persimmonspur.entry.relays import ChangesMessage
+from persimmonspur.entry.relays import ChangesMessage, ReceivedChanges
 from persimmonspur.entry.rollouts import MAX_REASON_CHARS, RolloutMessage
 from persimmonspur.entry.wire import ROLLOUT_FORMAT
 from persimmonspur.errors import Ran
@@ -40,8 +40,10 @@
     position = StorePosition(1, 9)
     message = ChangesMessage(position, position, False, 1.0, [("s1", ROLLOUT_FORMAT.pack(order))])
     data = msgspec.msgpack.encode(message)
-    decoded = msgspec.msgpack.decode(data, type=ROLLOUT_FORMAT.message_type)
-    assert ROLLOUT_FORMAT.unpack(decoded.changes[0][1], 0.0) == order
+    decoded = msgspec.msgpack.decode(data, type=ReceivedChanges)
+    (name, value), *others = decoded.changes
+    assert (name, others) == ("s1", [])
+    assert ROLLOUT_FORMAT.decode(name, bytes(value), 0.0, 0.0).ok == order
 
 
 def test_routes_beyond_the_limit_are_counted_together():
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -461,8 +461,8 @@
     first.configure(make_route(), version=5)
     first.start()
     state = first.instance.state.export_state()
-    assert state.build_table().version == 5
-    assert [endpoint.identity for endpoint in state.build_endpoints(0.0)] == ["i-1"]
+    assert state.table.version == 5
+    assert [endpoint.identity for endpoint in state.endpoints] == ["i-1"]
     first.instance.state.endpoint_feed.advance_newest(StorePosition(9, 1))
     first.instance.state._fetch_peer_state(first.instance.settings.member)
     assert first.instance.state.routes.table.version == 5
