--- a/tests/platform/platformsim.py
+++ b/tests/platform/platformsim.py
@@ -38,6 +38,7 @@
         self.era = 1
         self.on_list = None
         self.page_size = 500
+        self._raw_specs = {}
         self._changed = Event()
         self._server = WSGIServer(("127.0.0.1", 0), self._handle, log=None, error_log=None)
         self._server.start()
@@ -62,6 +63,15 @@
         self.objects.setdefault(kind, {})[name] = item
         self._add_event(kind, item, False)
 
+    def put_raw(self, kind, name, data):
+        """Store a specification as bytes, which need not be JSON.
+
+        :param data: is sent as it is wherever the object is read.
+        """
+        mark = f"raw-{len(self._raw_specs)}-{name}"
+        self._raw_specs[json.dumps(mark).encode()] = data
+        self.put(kind, name, mark)
+
     def put_status(self, kind, name, status):
         self.revision += 1
         known = self.objects[kind][name]
@@ -130,7 +140,7 @@
             self.responses_to_lose -= 1
             environ["wsgi.input"].rfile.close()
             raise ConnectionResetError("response lost")
-        return self._respond(start_response, status, document, self.era)
+        return self._respond(start_response, status, document, self.era, self._raw_specs)
 
     def _execute(self, method, path_parts, query, body):
         kind = path_parts[0]
@@ -202,8 +212,10 @@
         return FakeStore._respond(start_response, 503, {"error": "down"}, era)
 
     @staticmethod
-    def _respond(start_response, status, document, era=1):
+    def _respond(start_response, status, document, era=1, raw_specs=None):
         data = json.dumps(document).encode()
+        for mark, raw in (raw_specs or {}).items():
+            data = data.replace(mark, raw)
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(data))),
