Go on hearing heartbeats after a nested datagram or a flood

A datagram with a field nested deeper than the interpreter's limit raised in the reader's callback; the event loop then never reads that socket again, so the instance counted all peers as silent. The reader also went on as long as datagrams came.

A datagram that nests too deep is ignored as one that cannot be decoded, and the reader returns to the loop after 64.

--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -25,6 +25,8 @@
 from persimmonspur.entry.wire import Positions
 
 MAX_DATAGRAM_BYTES = 1_400
+# Other events of the loop get their turn after this many.
+MAX_DATAGRAMS_PER_EVENT = 64
 # As many as fit into a datagram beside the rest of the heartbeat.
 CRASH_REPORTS_PER_HEARTBEAT = 3
 # Heartbeat intervals are multiples of this interval.
@@ -182,7 +184,8 @@
             self.send()
 
     def _receive(self) -> None:
-        while True:
+        # The event loop calls again at once if there are more.
+        for _ in range(MAX_DATAGRAMS_PER_EVENT):
             try:
                 data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError:
@@ -193,7 +196,7 @@
                 continue
             try:
                 heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
-            except msgspec.DecodeError:
+            except (msgspec.DecodeError, RecursionError):
                 # Sent by an incompatible version; the sender counts as silent.
                 continue
             member = Member(
@@ -213,7 +216,7 @@
             return
         try:
             message = self._message_decoder.decode(data)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             # Of a type that this build does not know.
             return
         self._message_handlers[type(message)](message)
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -11,6 +11,7 @@
 from persimmonspur.entry.heartbeats import (
     CRASH_REPORTS_PER_HEARTBEAT,
     MAX_DATAGRAM_BYTES,
+    MESSAGE_PREFIX,
     Heartbeat,
     HeartbeatTransport,
     OwnState,
@@ -101,3 +102,31 @@
         sock.close()
         transport.close()
     assert received == ["c"]
+
+
+def test_nested_datagram_does_not_end_the_reader():
+    # Guards against an instance that hears no heartbeat any more after one odd datagram.
+    received = []
+    _, sender = open_transport("a")
+    member, receiver = open_transport("b")
+    nested = b"\x91" * 1_300 + b"\x01"
+    host, _, port = member.peer_address.rpartition(":")
+    try:
+        receiver.register_message(Greeting, received.append)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            heartbeat = Heartbeat(
+                "c", 1, "z", "r", member.caller_address, member.peer_address, True,
+                Positions(POSITION, POSITION, POSITION), 300.0, 1.0,
+            )  # fmt: skip
+            data = bytearray(msgspec.msgpack.encode(heartbeat))
+            # One more field than this build knows.
+            data[0] += 1
+            for odd in (bytes(data) + nested, nested, MESSAGE_PREFIX + nested):
+                sock.sendto(odd, (host, int(port)))
+        gevent.sleep(0.05)
+        sender.send_message(Greeting("a", 7), [member])
+        gevent.sleep(0.05)
+        assert received == [Greeting("a", 7)]
+    finally:
+        sender.close()
+        receiver.close()
