Pause between watches that a faulty store answers at once

From the second such answer in a row on the feed now backs off as after failures. One such answer still costs no time.

--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -28,6 +28,9 @@
 MAX_LIST_TIMEOUT_MS = 1_600.0
 BACKOFF_FIRST_MS = 150.0
 BACKOFF_MAX_MS = 1_500.0
+MAX_DOUBLINGS = 10
+# A watch without changes that is answered sooner was not held by the store or the relay.
+MIN_WATCH_MS = 50.0
 # Longest backoff after unexpected exceptions. Each is followed by a list, which costs more than a
 # watch.
 EXCEPTION_BACKOFF_MAX_MS = 5_000.0
@@ -154,6 +157,7 @@
         self._greenlet: gevent.Greenlet[[], None] | None = None
         self._backoff_ms = 0.0
         self._exception_backoff_ms = 0.0
+        self._useless_calls = 0
         self._recovered_ms = -RECOVERY_PERIOD_MS
         self._probing = False
         self._list_timeout_ms = FIRST_LIST_TIMEOUT_MS
@@ -311,6 +315,7 @@
             if watched.error.kind is ErrorKind.CONFLICT:
                 self.position = NO_POSITION
                 self._probing = False
+                self._pause_if_repeated()
                 return
             self._back_off(watched.error, started_ms)
             return
@@ -318,9 +323,24 @@
         self._probing = bool(watched.ok.changes) and self._verifies_watches()
         delay_ms = self._compute_delay_ms(watched.ok)
         self._apply(watched.ok)
+        if not watched.ok.changes and self._clock.now_ms() - started_ms < MIN_WATCH_MS:
+            self._pause_if_repeated()
+            return
+        self._useless_calls = 0
         if delay_ms:
             gevent.sleep(delay_ms / 1000)
 
+    def _pause_if_repeated(self) -> None:
+        """Pause after the second of several calls in a row that were answered without a result.
+
+        The store may answer so for as long as it is faulty. A single such answer is normal.
+        """
+        self._useless_calls += 1
+        if self._useless_calls < 2:
+            return
+        doubled_ms = BACKOFF_FIRST_MS * 2 ** min(self._useless_calls - 2, MAX_DOUBLINGS)
+        gevent.sleep(min(BACKOFF_MAX_MS, doubled_ms) * (0.5 + self._rng.random()) / 1000)
+
     def _compute_delay_ms(self, updates: Updates[T]) -> float:
         """Return the pause after changes that are not applied yet."""
         if not updates.changes:
--- a/tests/entry/test_feeds.py
+++ b/tests/entry/test_feeds.py
@@ -357,3 +357,42 @@
     # Guards against a pause at each instance in the chain from the store.
     calls = list_urgent_calls(start_feed, Updates((("c", 1),), at(11), relayed=True))
     assert calls == ["list", 10, 11]
+
+
+class RepeatingSource:
+    """Answers each watch at once with the same result."""
+
+    def __init__(self, watched):
+        self.watched = watched
+        self.calls = 0
+
+    def list(self, timeout_ms):
+        self.calls += 1
+        gevent.sleep(0)
+        return Ok(Snapshot({}, at(10)))
+
+    def watch(self, position, wait_ms):
+        self.calls += 1
+        gevent.sleep(0)
+        return self.watched
+
+
+@pytest.mark.parametrize(
+    "watched", [make_failure(ErrorKind.CONFLICT), Ok(Updates((), at(10)))], ids=["gone", "empty"]
+)
+def test_store_that_answers_watches_at_once_is_not_called_without_pause(watched):
+    # Guards against a feed that calls a faulty store, or a relay, as fast as it answers.
+    source = RepeatingSource(watched)
+    feed = Feed(
+        "feed",
+        source,
+        lambda snapshot, outage: None,
+        lambda updates, outage: None,
+        lambda name, failure, position: None,
+        Clock(),
+        random.Random(1),
+    )
+    feed.start()
+    gevent.sleep(1.0)
+    feed.stop()
+    assert 3 <= source.calls < 20
