Ask at most three relays in one watch before the store

Relays that fail slowly were usable again by the time the others had failed, so a follower could ask them in turn for as long as they failed. One watch now asks three, the number after which the selector turns to the store as well.

--- a/src/persimmonspur/entry/relays.py
+++ b/src/persimmonspur/entry/relays.py
@@ -19,7 +19,12 @@
 from persimmonspur.core.fleet.history import ChangeBatch
 from persimmonspur.core.fleet.messages import TimerHandle, Timers
 from persimmonspur.core.fleet.position import NO_POSITION, StorePosition
-from persimmonspur.core.fleet.relays import EXCLUSION_MS, OUTAGE_EXCLUSION_MS, RelaySelector
+from persimmonspur.core.fleet.relays import (
+    EXCLUSION_MS,
+    MAX_EXCLUDED_RELAYS,
+    OUTAGE_EXCLUSION_MS,
+    RelaySelector,
+)
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.digits import parse_digits
 from persimmonspur.entry.features import NO_FEATURES, FeatureSettings
@@ -357,7 +362,11 @@
         self._known_position = max(self._known_position, position)
         client = self._relay_client
         reason = "no relay to follow"
-        while (relay := client.selector.choose(client.clock.now_ms())) is not None:
+        # Relays that fail slowly could otherwise be asked in turn for ever.
+        for _ in range(MAX_EXCLUDED_RELAYS):
+            relay = client.selector.choose(client.clock.now_ms())
+            if relay is None:
+                break
             watched = self._watch_relay(relay, position)
             if watched.is_ok() or watched.error.kind is ErrorKind.CONFLICT:
                 return watched
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -11,6 +11,7 @@
 from persimmonspur.clock import Clock
 from persimmonspur.core.fleet.endpoints import Endpoint
 from persimmonspur.core.fleet.position import StorePosition
+from persimmonspur.core.fleet.relays import MAX_EXCLUDED_RELAYS
 from persimmonspur.core.fleet.roles import Member
 from persimmonspur.core.fleet.routes import ClientLimits, RequestKind, Route, RouteTable
 from persimmonspur.entry import feeds, relays
@@ -286,3 +287,26 @@
     )
     gevent.sleep(0.2)
     assert relay_pair.received[0][1]
+
+
+@pytest.mark.timeout(20)
+def test_watch_turns_to_the_store_when_relays_fail_in_turn(monkeypatch):
+    # Guards against a follower that asks failing relays for ever, each again once its time without
+    # calls is over.
+    asked = []
+
+    def fail(client, peer, path, timeout_ms, message_type):
+        asked.append(peer)
+        return Error(Failure.of(ErrorKind.NOT_READY, "status 503"))
+
+    monkeypatch.setattr(relays, "fetch_message", fail)
+    clock = Clock()
+    address = find_free_address()
+    selector = FixedSelector(Member("relay", 1, "a", "r", address, address))
+    monkeypatch.setattr(selector, "choose", lambda now_ms: selector.relay)
+    client = RelayClient(selector, clock, LoopTimers(clock), lambda source, reason: None)
+    store = ScriptedStore(Snapshot({}, at(10)))
+    store.updates.append(Ok(Updates((), at(11))))
+    source = RelayedSource("kind", store, client, ENDPOINT_FORMAT)
+    assert source.watch(at(10), 1_000.0).ok.position == at(11)
+    assert len(asked) == MAX_EXCLUDED_RELAYS
