End a list whose pages never end

A store that announces a further page for ever, with the same or with new names, was read until the memory was used up. A page that repeats the last name and a list over 32 MB are failures now.

--- a/src/persimmonspur/platform/store.py
+++ b/src/persimmonspur/platform/store.py
@@ -29,6 +29,8 @@
 # A watch is answered at most this long after its requested wait has ended.
 WATCH_MARGIN_MS = 1_500.0
 STATUS_CONFLICT = 409
+# Pages of one list together; a faulty store may announce a further page for ever.
+MAX_LIST_BYTES = 32_000_000
 # Counts how often the store was restored from an older copy.
 STORE_ERA = b"Store-Era"
 
@@ -110,6 +112,7 @@
         """
         objects: list[StoreObject | UnreadableObject] = []
         after = ""
+        received_bytes = 0
         position: StorePosition | None = None
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
@@ -131,8 +134,12 @@
             if not page.ok.has_more or not read:
                 return Ok(Listing(tuple(objects), position))
             names = [item.meta.name for item in read if item.meta is not None]
-            if not names:
-                reason = f"store: no entry of a page of {kind} has a readable name"
+            if not names or names[-1] == after:
+                reason = f"store: no entry of a page of {kind} has a new readable name"
+                return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
+            received_bytes += len(response.ok.body)
+            if received_bytes > MAX_LIST_BYTES:
+                reason = f"store: the list of {kind} exceeds {MAX_LIST_BYTES} bytes"
                 return Error(Failure.of(ErrorKind.STORE_UNAVAILABLE, reason))
             after = names[-1]
 
--- a/tests/platform/test_unreadable_entries.py
+++ b/tests/platform/test_unreadable_entries.py
@@ -13,6 +13,7 @@
 from persimmonspur.clock import ManualClock
 from persimmonspur.core.fleet.position import StorePosition
 from persimmonspur.entry.responses import HttpResponse
+from persimmonspur.platform import store as store_module
 from persimmonspur.platform.rawjson import split_array, split_object
 from persimmonspur.platform.sources import (
     open_configuration_source,
@@ -143,6 +144,17 @@
     assert source.list(100.0).is_error()
 
 
+@pytest.mark.timeout(20)
+def test_list_whose_pages_never_end_is_an_error(monkeypatch):
+    # Guards against an instance that reads pages for ever.
+    source, client = open_source(*[make_page(make_item("a", SOUND), more=True)] * 3)
+    assert source.list(100.0).is_error() and len(client.paths) == 2
+    monkeypatch.setattr(store_module, "MAX_LIST_BYTES", 2_000)
+    pages = [make_page(make_item(f"a{index:03}", SOUND), more=True) for index in range(100)]
+    source, client = open_source(*pages)
+    assert source.list(100.0).is_error() and len(client.paths) < 20
+
+
 SOURCES = {
     "configuration": lambda store: open_configuration_source(store),
     "endpoints": lambda store: open_endpoint_source(store, ManualClock()),
