Close a connection whose data raised an exception

The event loop never reads a socket again once its callback has raised. A client's request then had no answer and no bound: its connection counts as running, which no timeout ends. No input that raises is known; this bounds the class. The connection ends now, the exception is reported as before, and a call to an endpoint fails and may be repeated.

--- a/src/persimmonspur/entry/sockets.py
+++ b/src/persimmonspur/entry/sockets.py
@@ -219,10 +219,16 @@
         except OSError as error:
             self._end(str(error))
             return
-        if data:
-            self._on_data(data)
-        else:
+        if not data:
             self._end("")
+            return
+        try:
+            self._on_data(data)
+        except Exception as error:
+            # The event loop reports the exception and never reads this socket again, so the
+            # connection would stay open without an answer.
+            self._end(f"{type(error).__name__}: {error}")
+            raise
 
     def _end(self, reason: str) -> None:
         if self.closed:
--- a/tests/entry/test_sockets.py
+++ b/tests/entry/test_sockets.py
@@ -58,3 +58,19 @@
     assert read_round_trip_ms(own) == 0.0
     own.close()
     peer.close()
+
+
+def test_exception_while_data_is_handled_ends_the_connection(capsys):
+    # Guards against a connection that stays open and is never read again.
+    ends = []
+
+    def fail(data):
+        raise KeyError("odd")
+
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    stream = Stream(near, fail, ends.append)
+    far.sendall(b"data")
+    gevent.sleep(0.05)
+    assert stream.closed and ends == ["KeyError: 'odd'"]
+    far.close()
