--- a/src/persimmonspur/core/fleet/exchange.py
+++ b/src/persimmonspur/core/fleet/exchange.py
@@ -442,7 +442,8 @@
             if not self._hedge_shard(shard, now_ms):
                 recheck = True
         if recheck:
-            self._schedule_hedges(HEDGE_RECHECK_FRACTION * self._route.objective_ms)
+            recheck_ms = HEDGE_RECHECK_FRACTION * self._route.objective_ms
+            self._schedule_hedges(max(MIN_HEDGE_DELAY_MS, recheck_ms))
 
     def _watch_stragglers(self) -> None:
         """Schedule hedges for the last shards once most of a gather has responded."""
--- a/tests/core/fleet/test_time_budget.py
+++ b/tests/core/fleet/test_time_budget.py
@@ -160,3 +160,14 @@
     sim.timers.advance(MIN_SEND_TIMEOUT_MS)
     assert len(sim.sender.sends) == sent
     assert len(responses) == 1 and responses[0].status == 504
+
+
+def test_route_without_an_objective_does_not_try_hedges_without_pause():
+    # Guards against a request that uses the processor fully until its deadline.
+    sim = SlackTier()
+    route = make_route(objective_ms=0.0)
+    sim.add_route_services(route)
+    _, responses = sim.start(route)
+    sim.sender.exhausted = {f"single-{index}" for index in range(3)}
+    sim.timers.advance(1_000.0)
+    assert [response.status for response in responses] == [504]
