--- a/src/persimmonspur/entry/run.py
+++ b/src/persimmonspur/entry/run.py
@@ -1,5 +1,6 @@
 """Runs one entry instance until SIGTERM."""
 
+import faulthandler
 import gc
 import signal
 from collections.abc import Callable
@@ -23,6 +24,8 @@
 # Requests in progress are answered this long before the exit, so that the answers are sent.
 ANSWER_MARGIN_MS = 150.0
 RELOAD_INTERVAL_MS = 2_000.0
+# Writes the stack of each thread to standard error.
+STACK_SIGNAL = signal.SIGUSR1
 
 
 @frozen
@@ -38,10 +41,14 @@
 ) -> int:
     """Serve until SIGTERM or SIGINT, then finish the requests in progress.
 
+    :data:`STACK_SIGNAL` shows what the process does, also when it hangs.
+
     :param on_reload: called after SIGHUP and every :data:`RELOAD_INTERVAL_MS`, since the
         settings may change without a signal.
     :returns: the exit code.
     """
+    # A process that hangs can run no handler of its own; this one needs no interpreter.
+    faulthandler.register(STACK_SIGNAL)
     stop_requested = Event()
     loop = gevent.get_hub().loop
     watchers = [
--- a/tests/platform/entryprocess.py
+++ b/tests/platform/entryprocess.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from contextlib import ExitStack
 from pathlib import Path
 
 from platformsim import FakeStore
@@ -26,11 +27,12 @@
         self._tmp_path = tmp_path
         self._processes = []
 
-    def start(self, limits=None, log_path=os.devnull, **bounds):
+    def start(self, limits=None, log_path=os.devnull, error_path=None, **bounds):
         """Start a process.
 
         :param limits: limits of its machine in its settings.
         :param log_path: file for the process's log.
+        :param error_path: file for its standard error; that of the test by default.
         :param bounds: bounds in its settings.
         """
         self.caller_address, ready, resolve, peer = find_free_addresses(4)
@@ -54,11 +56,13 @@
             "limits": limits or {},
         }
         path.write_text(json.dumps(settings))
-        with Path(log_path).open("wb") as log:
+        with Path(log_path).open("wb") as log, ExitStack() as files:
+            errors = files.enter_context(Path(error_path).open("wb")) if error_path else None
             process = subprocess.Popen(
                 [sys.executable, "-m", "persimmonspur.platform"],
                 env={**os.environ, "PERSIMMONSPUR_BOOT": str(path)},
                 stdout=log,
+                stderr=errors,
             )
         self._processes.append(process)
         return process
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -7,6 +7,8 @@
 import pytest
 from entryprocess import EntryProcesses
 
+from persimmonspur.entry.run import STACK_SIGNAL
+
 
 @pytest.fixture
 def processes(tmp_path):
@@ -28,3 +30,17 @@
         while "entry-instances" not in processes.store.objects:
             gevent.sleep(0.01)
     assert process.poll() is None
+
+
+@pytest.mark.process
+def test_process_shows_its_stack_on_request(processes, tmp_path):
+    # Guards against a hanging process that leaves no trace of what it does.
+    path = tmp_path / "errors"
+    process = processes.start(error_path=path)
+    with gevent.Timeout(30.0):
+        while "entry-instances" not in processes.store.objects:
+            gevent.sleep(0.01)
+        process.send_signal(STACK_SIGNAL)
+        while "most recent call first" not in path.read_text():
+            gevent.sleep(0.01)
+    assert process.poll() is None
