Read heartbeats again after an unexpected exception, and pause only without news

The event loop stops to read a socket whose callback raised; for the socket of heartbeats that meant to hear no peer any more. It is read again now, and the exception is reported as before. A watch that reports only entries without a readable name brings news, so the feed does not back off after it.

--- a/src/persimmonspur/entry/feeds.py
+++ b/src/persimmonspur/entry/feeds.py
@@ -28,6 +28,7 @@
 MAX_LIST_TIMEOUT_MS = 1_600.0
 BACKOFF_FIRST_MS = 150.0
 BACKOFF_MAX_MS = 1_500.0
+# Enough for the longest backoff.
 MAX_DOUBLINGS = 10
 # A watch without changes that is answered sooner was not held by the store or the relay.
 MIN_WATCH_MS = 50.0
@@ -323,7 +324,8 @@
         self._probing = bool(watched.ok.changes) and self._verifies_watches()
         delay_ms = self._compute_delay_ms(watched.ok)
         self._apply(watched.ok)
-        if not watched.ok.changes and self._clock.now_ms() - started_ms < MIN_WATCH_MS:
+        has_news = watched.ok.changes or watched.ok.rejected
+        if not has_news and self._clock.now_ms() - started_ms < MIN_WATCH_MS:
             self._pause_if_repeated()
             return
         self._useless_calls = 0
--- a/src/persimmonspur/entry/heartbeats.py
+++ b/src/persimmonspur/entry/heartbeats.py
@@ -191,25 +191,37 @@
             except OSError:
                 # No datagram left, or an ICMP error for one that was sent earlier.
                 return
-            if data.startswith(MESSAGE_PREFIX):
-                self._receive_message(data[len(MESSAGE_PREFIX) :])
-                continue
             try:
-                heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
-            except (msgspec.DecodeError, RecursionError):
-                # Sent by an incompatible version; the sender counts as silent.
-                continue
-            member = Member(
-                heartbeat.name,
-                heartbeat.incarnation,
-                heartbeat.failure_domain,
-                heartbeat.region,
-                heartbeat.caller_address,
-                heartbeat.peer_address,
-                heartbeat.capability,
-            )
-            if not find_member_error(member):
-                self._on_heartbeat(member, heartbeat)
+                self._handle_datagram(data)
+            except Exception:
+                # The event loop reports the exception and stops to read the socket.
+                gevent.get_hub().loop.run_callback(self._read_again)
+                raise
+
+    def _read_again(self) -> None:
+        if self._sock.fileno() >= 0:
+            self._read_watcher.start(self._receive)
+
+    def _handle_datagram(self, data: bytes) -> None:
+        if data.startswith(MESSAGE_PREFIX):
+            self._receive_message(data[len(MESSAGE_PREFIX) :])
+            return
+        try:
+            heartbeat = msgspec.msgpack.decode(data, type=Heartbeat)
+        except (msgspec.DecodeError, RecursionError):
+            # Sent by an incompatible version; the sender counts as silent.
+            return
+        member = Member(
+            heartbeat.name,
+            heartbeat.incarnation,
+            heartbeat.failure_domain,
+            heartbeat.region,
+            heartbeat.caller_address,
+            heartbeat.peer_address,
+            heartbeat.capability,
+        )
+        if not find_member_error(member):
+            self._on_heartbeat(member, heartbeat)
 
     def _receive_message(self, data: bytes) -> None:
         if self._message_decoder is None:
--- a/tests/entry/test_heartbeats.py
+++ b/tests/entry/test_heartbeats.py
@@ -130,3 +130,25 @@
     finally:
         sender.close()
         receiver.close()
+
+
+def test_exception_of_one_message_does_not_end_the_reader():
+    # Guards against an instance that hears no heartbeat any more after an unexpected exception.
+    received = []
+
+    def handle(message):
+        received.append(message)
+        if message.value == 1:
+            raise KeyError("odd")
+
+    _, sender = open_transport("a")
+    member, receiver = open_transport("b")
+    try:
+        receiver.register_message(Greeting, handle)
+        for value in (1, 2):
+            sender.send_message(Greeting("a", value), [member])
+            gevent.sleep(0.05)
+        assert [message.value for message in received] == [1, 2]
+    finally:
+        sender.close()
+        receiver.close()
