Bound heads, framing and trailers of responses on the product's own path

The client of the product's own deployment bounded only the body of a response. A head, chunk framing or trailers without end were read until the deadline, with all header lines kept. A head may now have 64 KiB, a response 4 MB in all and 1,024 header and trailer lines; more fails that attempt and closes the connection.

--- a/src/persimmonspur/adapters/connections.py
+++ b/src/persimmonspur/adapters/connections.py
@@ -16,6 +16,11 @@
 MIN_STATUS = 100
 MAX_STATUS = 599
 MIN_FINAL_STATUS = 200
+# A faulty endpoint may send bytes without end.
+MAX_RESPONSE_BYTES = 4_000_000
+MAX_HEAD_BYTES = 65_536
+# Header lines, and trailer lines after the body.
+MAX_HEADER_LINES = 1_024
 
 
 class StaleConnectionError(ConnectionError):
@@ -23,7 +28,25 @@
 
 
 class EndpointResponse(HTTPSocketPoolResponse):
-    """Response that is refused if its status has no meaning."""
+    """Response that is refused if its status has no meaning, or if it is too large."""
+
+    # Set before the constructor of the library, which reads the head.
+    _received_bytes = 0
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse received bytes, within the limits of a head and of a whole response."""
+        self._received_bytes += len(data)
+        in_head = not self.headers_complete or self.get_code() < MIN_FINAL_STATUS
+        limit = MAX_HEAD_BYTES if in_head else MAX_RESPONSE_BYTES
+        if self._received_bytes > limit:
+            raise HTTPParseError(f"the response exceeds {limit} bytes")
+        super().feed(data)
+
+    def _flush_header(self) -> None:
+        super()._flush_header()
+        # The library counts trailer lines as well.
+        if self._header_position > MAX_HEADER_LINES:
+            raise HTTPParseError(f"the response has more than {MAX_HEADER_LINES} header lines")
 
     def _on_headers_complete(self) -> int | bool | None:
         status = self.get_code()
--- a/src/persimmonspur/adapters/endpoints.py
+++ b/src/persimmonspur/adapters/endpoints.py
@@ -19,8 +19,6 @@
 from persimmonspur.model.query import SnapshotId
 
 CONTROL_TIMEOUT_MS = 1_000.0
-# A faulty endpoint may send a body without end.
-MAX_RESPONSE_BYTES = 4_000_000
 READ_BLOCK_BYTES = 65_536
 # Connections beyond the slots, so that a cancellation does not wait for a search.
 SPARE_CONNECTIONS = 1
@@ -232,8 +230,6 @@
     data = bytearray()
     while block := response.read(READ_BLOCK_BYTES):
         data += block
-        if len(data) > MAX_RESPONSE_BYTES:
-            raise HTTPParseError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
     return bytes(data)
 
 
--- a/tests/adapters/test_endpoint_calls.py
+++ b/tests/adapters/test_endpoint_calls.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 from gevent.server import StreamServer
+from hostilesearchers import STREAMS
 
 from persimmonspur.adapters.connections import EndpointConnectionPool
 from persimmonspur.adapters.endpoints import HttpEndpointClient
@@ -107,6 +108,31 @@
     assert client._pools["e"].in_use == 0
 
 
+@pytest.mark.parametrize("shape", STREAMS)
+def test_bytes_without_end_fail_the_search_and_close_the_connection(start, shape):
+    # Guards against a daemon that reads a head, framing or trailers until its memory is used up.
+    closed = []
+    first, rest = STREAMS[shape]
+
+    def send_without_end(sock):
+        sock.sendall(first)
+        try:
+            while True:
+                sock.sendall(rest)
+                gevent.sleep(0)
+        except OSError:
+            closed.append(True)
+        return False
+
+    server = start(send_without_end)
+    client = HttpEndpointClient(Clock())
+    outcome = search(client, server.endpoint)
+    assert (outcome.error, outcome.ran) == (ErrorKind.UNREACHABLE, Ran.UNKNOWN)
+    gevent.sleep(0.05)
+    assert closed
+    assert client._pools["e"].in_use == 0
+
+
 def test_closed_idle_connection_is_reported_and_not_used(start):
     server = start(send_response)
     client = HttpEndpointClient(Clock())
