--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -421,6 +421,61 @@
         return 0.0
 
 
+class Proxy:
+    """Passes connections on to an address; open ones can go silent while new ones work.
+
+    :ivar open: connections that are passed on now.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self._server = None
+        self._silent: set[object] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self.open: set[object] = set()
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    def silence_open(self) -> int:
+        """Drop all data of the connections that are open now, without closing them.
+
+        :returns: their number.
+        """
+        self._silent |= self.open
+        count = len(self.open)
+        self.open.clear()
+        return count
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        ip, _, port = self._target.rpartition(":")
+        try:
+            target_reader, target_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        key = object()
+        self.open.add(key)
+        # The return of this method would not close the connection; the two tasks do.
+        self._tasks.add(asyncio.create_task(self._pass_on(key, reader, target_writer)))
+        self._tasks.add(asyncio.create_task(self._pass_on(key, target_reader, writer)))
+
+    async def _pass_on(self, key, reader, writer) -> None:
+        try:
+            while data := await reader.read(65_536):
+                if key not in self._silent:
+                    writer.write(data)
+                    await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        self.open.discard(key)
+        if key not in self._silent:
+            writer.close()
+
+
 def build_route(name: str = "r-main", service: str = "s1", **fields) -> dict:
     """Return a route of the configuration."""
     route = {
