--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -284,17 +284,28 @@
         return entry | fields
 
 
-async def request(address: str, path: str, request_id: str, deadline_ms: int = 2000, host: str = "h.example"):
+async def request(address: str, path: str, request_id: str, record: Record | None = None):
     """Send one request of a client on a new connection.
 
+    :param record: for the request and its answer, if given.
     :returns: status, headers and body; status 0 with the reason in the body without an answer.
     """
+    if record is not None:
+        record.note(f"{request_id} is sent to {address}")
+    status, headers, body = await exchange(address, path, request_id)
+    if record is not None:
+        record.note(f"{request_id} is answered: {status} {body[:40]!r}")
+    return status, headers, body
+
+
+async def exchange(address: str, path: str, request_id: str, deadline_ms: int = 2000):
+    """Send one request and read its answer, as :func:`request` does."""
     ip, _, port = address.rpartition(":")
     writer = None
     try:
         reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, int(port)), 1.0)
         writer.write(
-            f"GET {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {request_id}\r\n"
+            f"GET {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id}\r\n"
             f"X-Deadline-Ms: {deadline_ms}\r\n\r\n".encode()
         )
         message = await asyncio.wait_for(read_message(reader), deadline_ms / 1000 + 1.0)
