--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -19,6 +20,9 @@
 HOST = "127.0.0.1"
 COMMAND = ["python3", "-S", "-m", "persimmonspur.platform"]
 CANNOT_RUN = 2
+# Ports for the processes.
+MIN_PORT = 12_000
+MAX_PORT = 30_000
 
 
 def get_trouble() -> bool:
@@ -27,18 +31,30 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return free TCP ports."""
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((HOST, 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Return ports that are free for TCP and UDP.
+
+    They lie below those that the system gives to outgoing connections, which could take them
+    before a process listens.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(MIN_PORT, MAX_PORT)
+        if port not in ports and is_free(port):
+            ports.append(port)
     return ports
 
 
+def is_free(port: int) -> bool:
+    """Return whether a port is free for TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
 class Record:
     """Writes what was sent, answered and run, with the seconds since the start."""
 
