Review: each script names its record and its switch

run.py of each case holds the path of record.txt and reads TROUBLE itself; the stand-ins did so for it before.

--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -25,11 +25,6 @@
 MAX_PORT = 30_000
 
 
-def get_trouble() -> bool:
-    """Return whether the script brings about its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def find_free_ports(count: int) -> list[int]:
     """Return ports that are free for TCP and UDP.
 
@@ -543,14 +538,14 @@
     }
 
 
-def run(script) -> None:
+def run(script, record_path: Path) -> None:
     """Run a script and exit with its code: 1 if the rule was broken, 0 if it held, 2 otherwise.
 
     :param script: coroutine function that takes a record, a temporary folder and the list of
         machines to which it adds each machine that it starts.
+    :param record_path: file for the record.
     """
-    folder = Path(sys.argv[0]).resolve().parent
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     machines: list[Machine] = []
 
     async def main(temporary: str) -> int:
